--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Thin front over CMake: `make demo`, `make test`, `make bench`, `make lint`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps demo test bench slopes verify lint format clean
+
+all: $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+$(BUILD)/build.ninja: CMakeLists.txt
+	cmake -S . -B $(BUILD) -G Ninja
+
+deps:
+	scripts/install-deps
+
+demo: deps
+	$(MAKE) all
+	scripts/demo
+
+test: deps
+	cmake -S . -B $(BUILD)/test -G Ninja -DCM_SANITIZE=ON \
+	    -DCMAKE_BUILD_TYPE=Debug
+	cmake --build $(BUILD)/test -j $(JOBS)
+	ctest --test-dir $(BUILD)/test --output-on-failure
+
+bench: all
+	scripts/bench
+
+slopes: all
+	scripts/slopes
+
+verify:
+	scripts/verify
+
+lint:
+	scripts/lint
+
+format:
+	git ls-files '*.c' '*.h' | xargs clang-format -i
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/packages/config/include/config/settings.h
@@ -0,0 +1,81 @@
+/// @file settings.h
+/// Settings of one process: a small YAML file with its addresses, its zone
+/// and its limits, checked like the operators' text.
+
+#ifndef CONFIG_SETTINGS_H
+#define CONFIG_SETTINGS_H
+
+#include <glib.h>
+
+#include "base/finding.h"
+#include "base/log.h"
+#include "config/yaml_defs.h"
+
+/// Settings that both programs share.
+struct cm_settings {
+    struct cm_yaml yaml; ///< owns all texts
+    const char *name;
+    const char *zone;
+    const char *admin; ///< IP:PORT for operators
+    enum cm_log_format log_format;
+    GLogLevelFlags log_level;
+};
+
+/// Settings of an entry.
+struct cm_entry_settings {
+    struct cm_settings common;
+    const char *listen;   ///< IP:PORT for callers
+    const char *platform; ///< IP:PORT of the object API
+    const char **peers;   ///< IP:PORT of other entries' admin listeners
+    size_t n_peers;
+    const char *policy; ///< routing policy
+    int64_t header_bytes;
+    int64_t body_bytes;
+    int64_t connections;
+    int64_t waiting;      ///< requests in progress at once
+    int64_t caller_share; ///< of those, most of one caller, percent
+    int64_t links;        ///< connections to agents kept open
+    int64_t stop_ms;      ///< longest time a planned stop takes
+    int64_t once_window_s;
+};
+
+/// Settings of an agent.
+struct cm_agent_settings {
+    struct cm_settings common;
+    const char *listen;  ///< IP:PORT for entries
+    const char *target;  ///< name of its target in the operators' text
+    const char *service; ///< name of its service
+    const char *address; ///< IP:PORT of the target
+    bool engine;         ///< whether the target serves models
+    int64_t slots;
+    int64_t capacity; ///< requests the target runs at once
+    int64_t queue;    ///< requests that may wait
+    int64_t stop_ms;
+    const char *eviction; ///< eviction policy
+};
+
+/// Reads an entry's settings from `size` bytes of YAML.
+/// @return whether they are sound; CmSettings_Finish() is due either way.
+bool
+CmSettings_ReadEntry(struct cm_entry_settings *settings, const char *text,
+                     size_t size, struct cm_findings *findings);
+
+/// Frees an entry's settings.
+void
+CmSettings_FinishEntry(struct cm_entry_settings *settings);
+
+/// Reads an agent's settings.
+bool
+CmSettings_ReadAgent(struct cm_agent_settings *settings, const char *text,
+                     size_t size, struct cm_findings *findings);
+
+/// Frees an agent's settings.
+void
+CmSettings_FinishAgent(struct cm_agent_settings *settings);
+
+/// Reads a whole file.
+/// @return its text, to be freed, or NULL with `*error` set.
+char *
+CmSettings_LoadFile(const char *path, size_t *size, GError **error);
+
+#endif
--- /dev/null
+++ b/packages/http/src/client.c
@@ -0,0 +1,330 @@
+/// @file client.c
+/// Pooled HTTP client over evhttp. An evhttp connection carries one request
+/// at a time, so each call takes an idle connection or opens one. Connections
+/// are freed from the event loop, never inside an evhttp callback.
+
+#include "http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+struct connection {
+    TAILQ_ENTRY(connection) link;
+    struct evhttp_connection *evcon;
+    struct timespec idle_since;
+};
+
+struct cm_http_pool {
+    LIST_ENTRY(cm_http_pool) link;
+    char address[CM_HTTP_TEXT_MAX];
+    TAILQ_HEAD(, connection) idle;
+};
+
+struct cm_http_exchange {
+    LIST_ENTRY(cm_http_exchange) link;
+    struct cm_http_client *client;
+    struct cm_http_pool *pool;
+    struct connection *connection;
+    struct evhttp_request *request; ///< NULL once evhttp has let go of it
+    struct cm_http_call *call;      ///< NULL once cancelled
+    struct event *closing;          ///< frees the exchange from the loop
+    bool headed;                    ///< the head was handed on
+    bool reusable;                  ///< connection may serve another call
+    enum cm_http_end end;
+};
+
+void
+CmHttpClient_Init(struct cm_http_client *client, struct event_base *base)
+{
+    client->base = base;
+    LIST_INIT(&client->pools);
+    LIST_INIT(&client->exchanges);
+}
+
+static void
+connection_free(struct connection *connection)
+{
+    evhttp_connection_free(connection->evcon);
+    g_free(connection);
+}
+
+static void
+exchange_free(struct cm_http_exchange *exchange)
+{
+    struct connection *connection = exchange->connection;
+    if (exchange->request != NULL) {
+        evhttp_cancel_request(exchange->request);
+        exchange->request = NULL;
+    }
+    if (connection != NULL && exchange->reusable) {
+        connection->idle_since = CmClock_Now(CmClock_System());
+        TAILQ_INSERT_HEAD(&exchange->pool->idle, connection, link);
+    }
+    else if (connection != NULL) {
+        connection_free(connection);
+    }
+    LIST_REMOVE(exchange, link);
+    event_free(exchange->closing);
+    g_free(exchange);
+}
+
+void
+CmHttpClient_Finish(struct cm_http_client *client)
+{
+    struct cm_http_exchange *exchange;
+    while ((exchange = LIST_FIRST(&client->exchanges)) != NULL) {
+        if (exchange->call != NULL) {
+            exchange->call->exchange = NULL;
+        }
+        exchange->reusable = false;
+        exchange_free(exchange);
+    }
+    struct cm_http_pool *pool;
+    while ((pool = LIST_FIRST(&client->pools)) != NULL) {
+        struct connection *connection;
+        while ((connection = TAILQ_FIRST(&pool->idle)) != NULL) {
+            TAILQ_REMOVE(&pool->idle, connection, link);
+            connection_free(connection);
+        }
+        LIST_REMOVE(pool, link);
+        g_free(pool);
+    }
+}
+
+/// Tells the caller that the exchange is over, then frees it. Runs from the
+/// event loop, outside of evhttp.
+static void
+on_closing(evutil_socket_t fd, short what, void *context)
+{
+    struct cm_http_exchange *exchange = context;
+    struct cm_http_call *call = exchange->call;
+    enum cm_http_end end = exchange->end;
+    exchange_free(exchange);
+    if (call != NULL) {
+        call->exchange = NULL;
+        if (call->handler->end != NULL) {
+            call->handler->end(call->context, end);
+        }
+    }
+}
+
+static void
+exchange_close(struct cm_http_exchange *exchange, enum cm_http_end end)
+{
+    exchange->end = end;
+    struct timeval now = {0, 0};
+    event_add(exchange->closing, &now);
+}
+
+static void
+hand_on_head(struct cm_http_exchange *exchange, struct evhttp_request *request)
+{
+    if (exchange->headed) {
+        return;
+    }
+    exchange->headed = true;
+    struct cm_http_call *call = exchange->call;
+    if (call != NULL && call->handler->head != NULL) {
+        call->handler->head(call->context,
+                            evhttp_request_get_response_code(request),
+                            evhttp_request_get_input_headers(request));
+    }
+}
+
+static int
+on_header(struct evhttp_request *request, void *context)
+{
+    hand_on_head(context, request);
+    return 0;
+}
+
+static void
+on_chunk(struct evhttp_request *request, void *context)
+{
+    struct cm_http_exchange *exchange = context;
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(input);
+    struct cm_http_call *call = exchange->call;
+    if (size > 0 && call != NULL && call->handler->data != NULL) {
+        call->handler->data(call->context, evbuffer_pullup(input, -1), size);
+    }
+    evbuffer_drain(input, size);
+}
+
+static void
+on_done(struct evhttp_request *request, void *context)
+{
+    struct cm_http_exchange *exchange = context;
+    exchange->request = NULL;
+    if (request == NULL) {
+        exchange_close(exchange, CM_HTTP_BROKEN);
+        return;
+    }
+    if (evhttp_request_get_response_code(request) == 0) {
+        exchange_close(exchange, CM_HTTP_REFUSED);
+        return;
+    }
+    hand_on_head(exchange, request);
+    on_chunk(request, exchange);
+    exchange->reusable = true;
+    exchange_close(exchange, CM_HTTP_COMPLETE);
+}
+
+bool
+CmHttp_SplitAddress(const char *address, char host[CM_HTTP_TEXT_MAX],
+                    uint16_t *port)
+{
+    const char *colon = strrchr(address, ':');
+    if (colon == NULL || colon - address >= CM_HTTP_TEXT_MAX) {
+        return false;
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, G_MAXUINT16, &number,
+                                    NULL)) {
+        return false;
+    }
+    memcpy(host, address, (size_t)(colon - address));
+    host[colon - address] = '\0';
+    *port = (uint16_t)number;
+    return true;
+}
+
+static struct cm_http_pool *
+find_pool(struct cm_http_client *client, const char *address)
+{
+    struct cm_http_pool *pool;
+    CmList_FOREACH (pool, &client->pools, link) {
+        if (strcmp(pool->address, address) == 0) {
+            return pool;
+        }
+    }
+    pool = g_new0(struct cm_http_pool, 1);
+    g_strlcpy(pool->address, address, sizeof(pool->address));
+    TAILQ_INIT(&pool->idle);
+    LIST_INSERT_HEAD(&client->pools, pool, link);
+    return pool;
+}
+
+/// Takes a fresh enough idle connection, closing those that are too old.
+static struct connection *
+take_idle(struct cm_http_pool *pool)
+{
+    struct connection *connection;
+    struct timespec now = CmClock_Now(CmClock_System());
+    while ((connection = TAILQ_FIRST(&pool->idle)) != NULL) {
+        TAILQ_REMOVE(&pool->idle, connection, link);
+        int64_t idle_ms = CmTime_DiffMs(now, connection->idle_since);
+        if (idle_ms <= CM_HTTP_IDLE_MAX_MS) {
+            return connection;
+        }
+        connection_free(connection);
+    }
+    return NULL;
+}
+
+static struct connection *
+take_connection(struct cm_http_client *client, struct cm_http_pool *pool)
+{
+    struct connection *connection = take_idle(pool);
+    if (connection != NULL) {
+        return connection;
+    }
+    char host[CM_HTTP_TEXT_MAX];
+    uint16_t port;
+    if (!CmHttp_SplitAddress(pool->address, host, &port)) {
+        return NULL;
+    }
+    connection = g_new0(struct connection, 1);
+    connection->evcon =
+        evhttp_connection_base_new(client->base, NULL, host, port);
+    return connection;
+}
+
+static struct evhttp_request *
+build_request(const struct cm_http_request *spec,
+              struct cm_http_exchange *exchange)
+{
+    struct evhttp_request *request = evhttp_request_new(on_done, exchange);
+    evhttp_request_set_header_cb(request, on_header);
+    evhttp_request_set_chunked_cb(request, on_chunk);
+    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", spec->address);
+    for (size_t i = 0; i < spec->n_headers; i++) {
+        evhttp_add_header(headers, spec->headers[i].name,
+                          spec->headers[i].value);
+    }
+    if (spec->body_size > 0) {
+        evbuffer_add(evhttp_request_get_output_buffer(request), spec->body,
+                     spec->body_size);
+    }
+    return request;
+}
+
+void
+CmHttpCall_Start(struct cm_http_call *call, struct cm_http_client *client,
+                 const struct cm_http_request *spec,
+                 const struct cm_http_handler *handler, void *context)
+{
+    struct cm_http_exchange *exchange = g_new0(struct cm_http_exchange, 1);
+    exchange->client = client;
+    exchange->pool = find_pool(client, spec->address);
+    exchange->call = call;
+    exchange->closing = evtimer_new(client->base, on_closing, exchange);
+    LIST_INSERT_HEAD(&client->exchanges, exchange, link);
+    call->exchange = exchange;
+    call->handler = handler;
+    call->context = context;
+    exchange->connection = take_connection(client, exchange->pool);
+    if (exchange->connection == NULL) {
+        exchange_close(exchange, CM_HTTP_REFUSED);
+        return;
+    }
+    struct timeval timeout = CmTime_Timeval(spec->timeout_ms);
+    evhttp_connection_set_timeout_tv(exchange->connection->evcon, &timeout);
+    exchange->request = build_request(spec, exchange);
+    if (evhttp_make_request(exchange->connection->evcon, exchange->request,
+                            spec->method, spec->path) != 0) {
+        exchange->request = NULL;
+        exchange_close(exchange, CM_HTTP_REFUSED);
+    }
+}
+
+void
+CmHttpCall_Cancel(struct cm_http_call *call)
+{
+    struct cm_http_exchange *exchange = call->exchange;
+    if (exchange == NULL) {
+        return;
+    }
+    call->exchange = NULL;
+    exchange->call = NULL;
+    exchange->reusable = false;
+    exchange_close(exchange, CM_HTTP_BROKEN);
+}
+
+bool
+CmHttpCall_Active(const struct cm_http_call *call)
+{
+    return call->exchange != NULL;
+}
+
+void
+CmHttpCall_SetReading(struct cm_http_call *call, bool reading)
+{
+    if (call->exchange == NULL || call->exchange->connection == NULL) {
+        return;
+    }
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(call->exchange->connection->evcon);
+    if (reading) {
+        bufferevent_enable(bev, EV_READ);
+    }
+    else {
+        bufferevent_disable(bev, EV_READ);
+    }
+}
--- /dev/null
+++ b/packages/membership/src/members.c
@@ -0,0 +1,163 @@
+/// @file members.c
+/// The member table.
+
+#include "membership/members.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+void
+CmMembers_Init(struct cm_members *members)
+{
+    LIST_INIT(&members->list);
+    members->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    members->epoch = 1;
+    members->changed = NULL;
+    members->context = NULL;
+}
+
+void
+CmMembers_Finish(struct cm_members *members)
+{
+    struct cm_member *member;
+    while ((member = LIST_FIRST(&members->list)) != NULL) {
+        LIST_REMOVE(member, link);
+        g_free(member);
+    }
+    g_hash_table_destroy(members->by_name);
+}
+
+static void
+note_change(struct cm_members *members, struct cm_member *member)
+{
+    members->epoch++;
+    if (members->changed != NULL) {
+        members->changed(members->context, member);
+    }
+}
+
+void
+CmMembers_BeginList(struct cm_members *members)
+{
+    struct cm_member *member;
+    CmList_FOREACH (member, &members->list, link) {
+        member->in_this_list = false;
+    }
+}
+
+static struct cm_member *
+add_member(struct cm_members *members, const char *name)
+{
+    struct cm_member *member = g_new0(struct cm_member, 1);
+    g_strlcpy(member->name, name, sizeof(member->name));
+    LIST_INSERT_HEAD(&members->list, member, link);
+    g_hash_table_insert(members->by_name, member->name, member);
+    return member;
+}
+
+struct cm_member *
+CmMembers_Listed(struct cm_members *members, const char *name,
+                 const char *endpoint, const char *zone, bool leaving)
+{
+    struct cm_member *member = CmMembers_Find(members, name);
+    bool changed = false;
+    if (member == NULL) {
+        member = add_member(members, name);
+        changed = true;
+    }
+    changed |= !member->listed || member->leaving_listed != leaving ||
+               strcmp(member->endpoint, endpoint) != 0;
+    if (strcmp(member->endpoint, endpoint) != 0) {
+        // A replaced instance: nothing is known of it yet.
+        member->state = CM_MEMBER_UNKNOWN;
+        member->incarnation = 0;
+        member->leaving_said = false;
+    }
+    member->listed = true;
+    member->in_this_list = true;
+    member->leaving_listed = leaving;
+    g_strlcpy(member->endpoint, endpoint, sizeof(member->endpoint));
+    g_strlcpy(member->zone, zone, sizeof(member->zone));
+    if (changed) {
+        note_change(members, member);
+    }
+    return member;
+}
+
+void
+CmMembers_EndList(struct cm_members *members)
+{
+    struct cm_member *member;
+    CmList_FOREACH (member, &members->list, link) {
+        if (member->listed && !member->in_this_list) {
+            member->listed = false;
+            note_change(members, member);
+        }
+    }
+}
+
+enum cm_heard
+CmMembers_Heard(struct cm_members *members, struct cm_member *member,
+                uint64_t incarnation, bool leaving, struct timespec now)
+{
+    if (incarnation < member->incarnation) {
+        return CM_HEARD_OUTDATED;
+    }
+    enum cm_heard heard =
+        incarnation > member->incarnation ? CM_HEARD_NEW : CM_HEARD_SAME;
+    bool changed = heard == CM_HEARD_NEW || member->leaving_said != leaving ||
+                   member->state != CM_MEMBER_LIVE;
+    member->incarnation = incarnation;
+    member->leaving_said = leaving;
+    member->state = CM_MEMBER_LIVE;
+    member->heard = now;
+    if (changed) {
+        note_change(members, member);
+    }
+    return heard;
+}
+
+void
+CmMembers_Tick(struct cm_members *members, struct timespec now)
+{
+    struct cm_member *member;
+    CmList_FOREACH (member, &members->list, link) {
+        int64_t silent_ms = CmTime_DiffMs(now, member->heard);
+        if (member->state == CM_MEMBER_LIVE &&
+            silent_ms >= CM_MEMBER_SUSPECT_MS) {
+            member->state = CM_MEMBER_SUSPECT;
+            note_change(members, member);
+        }
+        if (member->state == CM_MEMBER_SUSPECT &&
+            silent_ms >= CM_MEMBER_DEAD_MS) {
+            member->state = CM_MEMBER_DEAD;
+            note_change(members, member);
+        }
+    }
+}
+
+struct cm_member *
+CmMembers_Find(const struct cm_members *members, const char *name)
+{
+    return g_hash_table_lookup(members->by_name, name);
+}
+
+bool
+CmMember_Leaving(const struct cm_member *member)
+{
+    return member->leaving_listed || member->leaving_said;
+}
+
+bool
+CmMember_Usable(const struct cm_member *member)
+{
+    return member->state == CM_MEMBER_LIVE && !CmMember_Leaving(member);
+}
+
+const char *
+CmMember_StateName(enum cm_member_state state)
+{
+    static const char *const names[] = {"unknown", "live", "suspect", "dead"};
+    return names[state];
+}
--- /dev/null
+++ b/packages/once/src/once.c
@@ -0,0 +1,522 @@
+/// @file once.c
+/// Records of keys in sharded objects with group commit.
+
+#include "once/once.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "platform/objects.h"
+
+#define KIND "claims"
+
+static void
+shard_step(struct cm_once_shard *shard);
+static void
+on_answer(void *context, enum cm_object_result result, json_t *object);
+
+static void
+on_retry(evutil_socket_t fd, short what, void *context)
+{
+    struct cm_once_shard *shard = context;
+    if (shard->phase == CM_ONCE_PAUSED) {
+        shard->phase = CM_ONCE_IDLE;
+    }
+    shard_step(shard);
+}
+
+void
+CmOnce_Init(struct cm_once *once, struct cm_objects *objects,
+            struct event_base *base, struct cm_clock *clock, int64_t window_ms)
+{
+    memset(once, 0, sizeof(*once));
+    once->objects = objects;
+    once->clock = clock;
+    once->window_ms = window_ms;
+    for (int i = 0; i < CM_ONCE_SHARDS; i++) {
+        struct cm_once_shard *shard = &once->shards[i];
+        shard->once = once;
+        snprintf(shard->name, sizeof(shard->name), "shard-%02d", i);
+        TAILQ_INIT(&shard->queue);
+        TAILQ_INIT(&shard->ready);
+        CmObjectCall_Init(&shard->call, on_answer, shard);
+        shard->retry = evtimer_new(base, on_retry, shard);
+    }
+}
+
+static void
+op_release(struct cm_once_op *op)
+{
+    TAILQ_REMOVE(op->queue, op, link);
+    op->shard = NULL;
+    g_free(op->expected);
+    op->expected = NULL;
+    json_decref(op->record);
+    op->record = NULL;
+}
+
+static void
+forget_records(struct cm_once_shard *shard)
+{
+    json_decref(shard->records);
+    shard->records = NULL;
+    g_free(shard->version);
+    shard->version = NULL;
+}
+
+void
+CmOnce_Finish(struct cm_once *once)
+{
+    for (int i = 0; i < CM_ONCE_SHARDS; i++) {
+        struct cm_once_shard *shard = &once->shards[i];
+        struct cm_once_op *op;
+        while ((op = TAILQ_FIRST(&shard->queue)) != NULL) {
+            op_release(op);
+        }
+        while ((op = TAILQ_FIRST(&shard->ready)) != NULL) {
+            op_release(op);
+        }
+        CmObjectCall_Finish(once->objects, &shard->call);
+        forget_records(shard);
+        json_decref(shard->written);
+        event_free(shard->retry);
+    }
+}
+
+void
+CmOnce_HashKey(const char *service, const char *key,
+               char hashed[CM_ONCE_KEY_SIZE])
+{
+    char *joined = g_strconcat(service, "\n", key, NULL);
+    char digest[CM_DIGEST_SIZE];
+    CmHash_Digest(joined, strlen(joined), digest);
+    g_strlcpy(hashed, digest, CM_ONCE_KEY_SIZE);
+    g_free(joined);
+}
+
+static const char *const state_names[] = {"claimed", "done", "lost"};
+
+static json_t *
+encode_record(const struct cm_once_record *record, int64_t wall_ms)
+{
+    json_t *json = json_pack(
+        "{s:s,s:s,s:s,s:s,s:I,s:I}", "state", state_names[record->state],
+        "digest", record->digest, "request", record->request, "target",
+        record->target, "incarnation", (json_int_t)record->incarnation, "at",
+        (json_int_t)wall_ms);
+    if (record->state == CM_ONCE_DONE) {
+        json_object_set_new(json, "status", json_integer(record->status));
+        json_object_set_new(
+            json, "headers",
+            json_string(record->headers != NULL ? record->headers : ""));
+        if (record->body != NULL) {
+            json_t *body = json_string(record->body);
+            if (body != NULL) {
+                json_object_set_new(json, "body", body);
+            }
+        }
+    }
+    return json;
+}
+
+static const char *
+text_of(const json_t *json, const char *name)
+{
+    const char *text = json_string_value(json_object_get(json, name));
+    return text != NULL ? text : "";
+}
+
+static void
+decode_record(const struct cm_once *once, const json_t *json,
+              struct cm_once_record *record)
+{
+    memset(record, 0, sizeof(*record));
+    record->age_ms = CmClock_WallMs(once->clock) -
+                     json_integer_value(json_object_get(json, "at"));
+    const char *state = text_of(json, "state");
+    // A state that a later version may add is treated as "may have run".
+    record->state = CM_ONCE_LOST;
+    for (size_t i = 0; i < G_N_ELEMENTS(state_names); i++) {
+        if (strcmp(state, state_names[i]) == 0) {
+            record->state = (enum cm_once_state)i;
+        }
+    }
+    record->digest = text_of(json, "digest");
+    record->request = text_of(json, "request");
+    record->target = text_of(json, "target");
+    record->incarnation =
+        (uint64_t)json_integer_value(json_object_get(json, "incarnation"));
+    record->status = json_integer_value(json_object_get(json, "status"));
+    record->headers = text_of(json, "headers");
+    record->body = json_string_value(json_object_get(json, "body"));
+}
+
+/// What an operation makes of the records.
+enum effect {
+    EFFECT_NONE,   ///< another record stands there
+    EFFECT_CHANGE, ///< the records were changed
+    EFFECT_STANDS, ///< they are as asked for already: an earlier write of
+                   ///< this operation took effect
+};
+
+static enum effect
+apply_claim(const struct cm_once_op *op, json_t *records)
+{
+    const json_t *present = json_object_get(records, op->key);
+    if (present == NULL) {
+        json_object_set(records, op->key, op->record);
+        return EFFECT_CHANGE;
+    }
+    bool own = strcmp(text_of(present, "request"),
+                      text_of(op->record, "request")) == 0;
+    return own ? EFFECT_STANDS : EFFECT_NONE;
+}
+
+static enum effect
+apply_replace(const struct cm_once_op *op, json_t *records)
+{
+    const json_t *present = json_object_get(records, op->key);
+    bool same =
+        present != NULL &&
+        strcmp(text_of(present, "request"), text_of(op->record, "request")) ==
+            0 &&
+        strcmp(text_of(present, "state"), text_of(op->record, "state")) == 0;
+    if (same) {
+        return EFFECT_STANDS;
+    }
+    bool expected =
+        present != NULL &&
+        strcmp(text_of(present, "request"), op->expected) == 0 &&
+        strcmp(text_of(present, "state"), state_names[CM_ONCE_CLAIMED]) == 0;
+    if (!expected) {
+        return EFFECT_NONE;
+    }
+    json_object_set(records, op->key, op->record);
+    return EFFECT_CHANGE;
+}
+
+static enum effect
+apply_remove(const struct cm_once_op *op, json_t *records)
+{
+    const json_t *present = json_object_get(records, op->key);
+    if (present == NULL) {
+        return EFFECT_STANDS;
+    }
+    bool expected =
+        strcmp(text_of(present, "request"), op->expected) == 0 &&
+        strcmp(text_of(present, "state"), state_names[CM_ONCE_CLAIMED]) == 0;
+    if (!expected) {
+        return EFFECT_NONE;
+    }
+    json_object_del(records, op->key);
+    return EFFECT_CHANGE;
+}
+
+static enum effect
+apply(const struct cm_once_op *op, json_t *records)
+{
+    switch (op->kind) {
+    case CM_ONCE_CLAIM:
+        return apply_claim(op, records);
+    case CM_ONCE_REPLACE:
+        return apply_replace(op, records);
+    case CM_ONCE_REMOVE:
+        return apply_remove(op, records);
+    }
+    return EFFECT_NONE;
+}
+
+static void
+drop_old(const struct cm_once *once, json_t *records)
+{
+    int64_t now_ms = CmClock_WallMs(once->clock);
+    const char *key;
+    json_t *record;
+    void *next;
+    json_object_foreach_safe(records, next, key, record)
+    {
+        int64_t at = json_integer_value(json_object_get(record, "at"));
+        if (now_ms - at > once->window_ms) {
+            json_object_del(records, key);
+        }
+    }
+}
+
+/// Marks an operation as ended; deliver() tells its owner.
+static void
+end_op(struct cm_once_op *op, enum cm_once_result result)
+{
+    op->result = result;
+    TAILQ_REMOVE(op->queue, op, link);
+    op->queue = &op->shard->ready;
+    TAILQ_INSERT_TAIL(op->queue, op, link);
+}
+
+static void
+tell_owner(struct cm_once_op *op)
+{
+    struct cm_once_shard *shard = op->shard;
+    enum cm_once_result result = op->result;
+    struct cm_once_record present;
+    json_t *json = json_incref(json_object_get(shard->records, op->key));
+    bool shown = result == CM_ONCE_PRESENT && json != NULL;
+    if (shown) {
+        decode_record(shard->once, json, &present);
+    }
+    cm_once_done done = op->done;
+    void *context = op->context;
+    op_release(op);
+    done(context, result, shown ? &present : NULL);
+    json_decref(json);
+}
+
+/// Tells the owners of ended operations, which may start or cancel others.
+static void
+deliver(struct cm_once_shard *shard)
+{
+    struct cm_once_op *op;
+    while ((op = TAILQ_FIRST(&shard->ready)) != NULL) {
+        tell_owner(op);
+    }
+}
+
+/// Ends the operations whose result is certain by the records as they are.
+/// @return whether some operation still needs a write.
+static bool
+settle(struct cm_once_shard *shard)
+{
+    bool needs_write = false;
+    struct cm_once_op *op;
+    struct cm_once_op *next;
+    CmTailq_FOREACH_SAFE (op, &shard->queue, link, next) {
+        op->applied = false;
+        json_t *trial = json_object();
+        json_t *present = json_object_get(shard->records, op->key);
+        if (present != NULL) {
+            json_object_set(trial, op->key, present);
+        }
+        enum effect effect = apply(op, trial);
+        json_decref(trial);
+        if (effect == EFFECT_CHANGE) {
+            needs_write = true;
+        }
+        else {
+            end_op(op, effect == EFFECT_STANDS ? CM_ONCE_GRANTED
+                                               : CM_ONCE_PRESENT);
+        }
+    }
+    return needs_write;
+}
+
+static size_t
+size_of(const json_t *json)
+{
+    return json_dumpb(json, NULL, 0, JSON_COMPACT);
+}
+
+/// Applies as many operations as the shard has room for.
+static void
+gather(struct cm_once_shard *shard)
+{
+    shard->written = json_copy(shard->records);
+    drop_old(shard->once, shard->written);
+    size_t size = size_of(shard->written);
+    struct cm_once_op *op;
+    struct cm_once_op *next;
+    CmTailq_FOREACH_SAFE (op, &shard->queue, link, next) {
+        size_t grows = op->kind == CM_ONCE_REMOVE ? 0 : size_of(op->record);
+        grows += CM_ONCE_KEY_SIZE;
+        if (op->kind == CM_ONCE_CLAIM && size + grows > CM_ONCE_SHARD_MAX) {
+            end_op(op, CM_ONCE_FULL);
+            continue;
+        }
+        // Two claims of one key in one write: the later one waits for the
+        // result of the earlier one.
+        op->applied = apply(op, shard->written) == EFFECT_CHANGE;
+        size += op->applied ? grows : 0;
+    }
+}
+
+static void
+write_shard(struct cm_once_shard *shard)
+{
+    struct cm_objects *objects = shard->once->objects;
+    gather(shard);
+    if (TAILQ_EMPTY(&shard->queue)) {
+        json_decref(shard->written);
+        shard->written = NULL;
+        return;
+    }
+    json_t *object =
+        CmObject_New(shard->version, json_pack("{s:i,s:O}", "format", 1,
+                                               "records", shard->written));
+    shard->phase = CM_ONCE_WRITING;
+    if (shard->version == NULL) {
+        objects->ops->create(objects, &shard->call, KIND, shard->name, object);
+    }
+    else {
+        objects->ops->update(objects, &shard->call, KIND, shard->name, object);
+    }
+    json_decref(object);
+}
+
+static void
+read_shard(struct cm_once_shard *shard)
+{
+    struct cm_objects *objects = shard->once->objects;
+    shard->phase = CM_ONCE_READING;
+    objects->ops->get(objects, &shard->call, KIND, shard->name);
+}
+
+static void
+shard_step(struct cm_once_shard *shard)
+{
+    if (shard->phase != CM_ONCE_IDLE || TAILQ_EMPTY(&shard->queue)) {
+        return;
+    }
+    if (shard->records == NULL) {
+        read_shard(shard);
+        return;
+    }
+    if (settle(shard)) {
+        write_shard(shard);
+    }
+    deliver(shard);
+}
+
+static void
+take_records(struct cm_once_shard *shard, const char *version, json_t *records)
+{
+    forget_records(shard);
+    shard->version = g_strdup(version);
+    shard->records =
+        json_is_object(records) ? json_incref(records) : json_object();
+}
+
+static void
+pause_shard(struct cm_once_shard *shard)
+{
+    shard->phase = CM_ONCE_PAUSED;
+    struct timeval delay = CmTime_Timeval(CM_ONCE_RETRY_MS);
+    event_add(shard->retry, &delay);
+}
+
+static void
+on_read(struct cm_once_shard *shard, enum cm_object_result result,
+        json_t *object)
+{
+    if (result == CM_OBJECT_OK) {
+        json_t *spec = CmObject_Spec(object);
+        take_records(shard, CmObject_Version(object),
+                     json_object_get(spec, "records"));
+    }
+    else if (result == CM_OBJECT_MISSING) {
+        take_records(shard, NULL, NULL);
+    }
+    else {
+        pause_shard(shard);
+        return;
+    }
+    shard_step(shard);
+}
+
+/// Tells the operations of a write that took effect.
+static void
+grant_applied(struct cm_once_shard *shard)
+{
+    struct cm_once_op *op;
+    struct cm_once_op *next;
+    CmTailq_FOREACH_SAFE (op, &shard->queue, link, next) {
+        if (op->applied) {
+            end_op(op, CM_ONCE_GRANTED);
+        }
+    }
+}
+
+static void
+on_written(struct cm_once_shard *shard, enum cm_object_result result,
+           json_t *object)
+{
+    json_t *written = shard->written;
+    shard->written = NULL;
+    if (result == CM_OBJECT_OK) {
+        take_records(shard, CmObject_Version(object), written);
+        grant_applied(shard);
+        shard_step(shard);
+        deliver(shard);
+    }
+    else if (result == CM_OBJECT_CONFLICT) {
+        shard->once->conflicts++;
+        forget_records(shard);
+        shard_step(shard);
+    }
+    else {
+        // It may have taken effect: only reading it back tells.
+        forget_records(shard);
+        pause_shard(shard);
+    }
+    json_decref(written);
+}
+
+static void
+on_answer(void *context, enum cm_object_result result, json_t *object)
+{
+    struct cm_once_shard *shard = context;
+    enum cm_once_phase phase = shard->phase;
+    shard->phase = CM_ONCE_IDLE;
+    if (phase == CM_ONCE_READING) {
+        on_read(shard, result, object);
+    }
+    else {
+        on_written(shard, result, object);
+    }
+}
+
+static struct cm_once_shard *
+shard_of(struct cm_once *once, const char *key)
+{
+    char digits[3] = {key[0], key[1], '\0'};
+    return &once->shards[strtoul(digits, NULL, 16) % CM_ONCE_SHARDS];
+}
+
+void
+CmOnce_Start(struct cm_once *once, struct cm_once_op *op,
+             enum cm_once_kind kind, const char *key, const char *expected,
+             const struct cm_once_record *record, cm_once_done done,
+             void *context)
+{
+    memset(op, 0, sizeof(*op));
+    op->kind = kind;
+    g_strlcpy(op->key, key, sizeof(op->key));
+    op->expected = g_strdup(expected);
+    if (record != NULL) {
+        op->record = encode_record(record, CmClock_WallMs(once->clock));
+    }
+    op->done = done;
+    op->context = context;
+    op->shard = shard_of(once, key);
+    op->queue = &op->shard->queue;
+    once->operations++;
+    TAILQ_INSERT_TAIL(op->queue, op, link);
+    // From the loop, so that operations of one moment share a write.
+    if (op->shard->phase == CM_ONCE_IDLE) {
+        event_active(op->shard->retry, EV_TIMEOUT, 0);
+    }
+}
+
+void
+CmOnce_Cancel(struct cm_once_op *op)
+{
+    if (op->shard != NULL) {
+        op_release(op);
+    }
+}
+
+bool
+CmOnce_Active(const struct cm_once_op *op)
+{
+    return op->shard != NULL;
+}
--- /dev/null
+++ b/packages/placement/include/placement/scheduler_defs.h
@@ -0,0 +1,115 @@
+/// @file scheduler_defs.h
+/// Types of an agent's scheduler: jobs, adapter slots, and the actions that
+/// it asks for.
+
+#ifndef PLACEMENT_SCHEDULER_DEFS_H
+#define PLACEMENT_SCHEDULER_DEFS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+#include "base/list.h"
+#include "placement/popularity.h"
+
+/// Loads that one engine runs at once.
+#define CM_LOADS_AT_ONCE 2
+/// Wait after which a load may close a slot that is busy without a break.
+#define CM_SLOT_PATIENCE_MS 500
+/// Pause before a failed load is tried again.
+#define CM_LOAD_RETRY_MS 300
+/// Failed loads in a row after which the waiting jobs are refused.
+#define CM_LOAD_FAILURES_MAX 3
+
+struct cm_want;
+
+/// One request in an agent, embedded in the owner's own struct.
+struct cm_job {
+    TAILQ_ENTRY(cm_job) link; ///< in its want's queue while it waits
+    struct cm_want *want;
+    int64_t priority; ///< 0 is most urgent
+    struct timespec arrived;
+    struct timespec deadline;
+    bool running;
+    GSequenceIter *by_deadline; ///< place among waiting jobs
+    struct cm_slot *slot;       ///< pinned while it runs
+    uint64_t slot_epoch;        ///< of `slot` when it was pinned
+};
+
+enum cm_slot_state {
+    CM_SLOT_EMPTY,
+    CM_SLOT_LOADING,
+    CM_SLOT_READY,
+    CM_SLOT_UNLOADING,
+};
+
+/// One adapter slot of an engine.
+struct cm_slot {
+    enum cm_slot_state state;
+    struct cm_want *want; ///< adapter in the slot, NULL while empty
+    struct cm_want *next; ///< adapter that gets the slot after an eviction
+    size_t pins;          ///< running jobs; never evicted while above zero
+    uint64_t epoch;       ///< grows when the slot is cleared
+    bool closing;         ///< takes no new jobs, to be evicted when idle
+    struct timespec used;
+};
+
+/// All that waits for, or holds, one adapter.
+struct cm_want {
+    LIST_ENTRY(cm_want) link;
+    char *adapter; ///< "name@version"; empty for a plain target
+    TAILQ_HEAD(cm_job_queue, cm_job) jobs; ///< by priority, then deadline
+    struct cm_slot *slot;
+    GSequenceIter *waiting; ///< place among wants that need a load
+    bool prefetch;          ///< wanted although nobody waits
+    int failures;           ///< failed loads in a row
+    struct timespec retry_at;
+};
+
+/// What is to be done next.
+enum cm_action_kind {
+    CM_ACTION_NONE,
+    CM_ACTION_START, ///< run `job`
+    CM_ACTION_LOAD,  ///< load the adapter of `slot->want` into `slot`
+    CM_ACTION_EVICT, ///< take the adapter of `slot->want` out
+    CM_ACTION_REFUSE_DEADLINE, ///< `job` cannot be started in time
+    CM_ACTION_REFUSE_LOAD,     ///< the adapter of `job` cannot be loaded
+};
+
+struct cm_action {
+    enum cm_action_kind kind;
+    struct cm_job *job;
+    struct cm_slot *slot;
+    const char *reason;
+};
+
+struct cm_scheduler;
+
+/// How a slot is chosen for eviction.
+struct cm_eviction_ops {
+    const char *name;
+    /// @return how much worth keeping the adapter of `slot` is; the lowest
+    ///         goes first.
+    double (*worth)(const struct cm_scheduler *scheduler,
+                    const struct cm_slot *slot, struct timespec now);
+};
+
+struct cm_scheduler {
+    const struct cm_eviction_ops *eviction;
+    struct cm_slot *slots;
+    size_t n_slots; ///< 0 for a plain target
+    size_t capacity;
+    size_t running;
+    size_t waiting_jobs;
+    size_t loading;
+    size_t permits;       ///< loads allowed by the weight store's budget
+    bool stopped;         ///< the target is down: nothing is started or loaded
+    GHashTable *wants;    ///< adapter text to struct cm_want
+    GSequence *deadlines; ///< waiting jobs, earliest deadline first
+    GSequence *waiting;   ///< wants that need a load, most urgent first
+    struct cm_popularity popularity;
+    struct cm_want *plain; ///< the one want of a plain target
+};
+
+#endif
--- /dev/null
+++ b/packages/placement/src/popularity.c
@@ -0,0 +1,105 @@
+/// @file popularity.c
+/// Exponentially decayed rates: a sum of weights exp(-age * ln 2 / half-life),
+/// kept as one number and the time it was last brought up to date.
+
+#include "placement/popularity.h"
+
+#include <math.h>
+
+#include "base/clock.h"
+
+struct rate {
+    double sum;
+    struct timespec at;
+};
+
+#define DECAY_PER_S (M_LN2 / CM_POPULARITY_HALF_LIFE_S)
+
+void
+CmPopularity_Init(struct cm_popularity *popularity)
+{
+    popularity->rates =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+CmPopularity_Finish(struct cm_popularity *popularity)
+{
+    g_hash_table_destroy(popularity->rates);
+}
+
+static double
+decayed(const struct rate *rate, struct timespec now)
+{
+    double age_s = CmTime_DiffS(now, rate->at);
+    return age_s > 0 ? rate->sum * exp(-age_s * DECAY_PER_S) : rate->sum;
+}
+
+static gboolean
+is_forgotten(gpointer key, gpointer value, gpointer context)
+{
+    const struct timespec *now = context;
+    return decayed(value, *now) < 0.01;
+}
+
+static struct rate *
+find_or_add(struct cm_popularity *popularity, const char *adapter,
+            struct timespec now)
+{
+    struct rate *rate = g_hash_table_lookup(popularity->rates, adapter);
+    if (rate == NULL) {
+        if (g_hash_table_size(popularity->rates) >= CM_POPULARITY_MAX) {
+            g_hash_table_foreach_remove(popularity->rates, is_forgotten, &now);
+        }
+        rate = g_new0(struct rate, 1);
+        rate->at = now;
+        g_hash_table_insert(popularity->rates, g_strdup(adapter), rate);
+    }
+    return rate;
+}
+
+void
+CmPopularity_Count(struct cm_popularity *popularity, const char *adapter,
+                   struct timespec now)
+{
+    struct rate *rate = find_or_add(popularity, adapter, now);
+    rate->sum = decayed(rate, now) + 1;
+    rate->at = now;
+}
+
+double
+CmPopularity_Rate(const struct cm_popularity *popularity, const char *adapter,
+                  struct timespec now)
+{
+    const struct rate *rate = g_hash_table_lookup(popularity->rates, adapter);
+    // At a steady rate r the sum settles at r / DECAY_PER_S.
+    return rate != NULL ? decayed(rate, now) * DECAY_PER_S : 0;
+}
+
+void
+CmPopularity_Set(struct cm_popularity *popularity, const char *adapter,
+                 double rate_per_s, struct timespec now)
+{
+    struct rate *rate = find_or_add(popularity, adapter, now);
+    rate->sum = rate_per_s / DECAY_PER_S;
+    rate->at = now;
+}
+
+void
+CmPopularity_Each(const struct cm_popularity *popularity, struct timespec now,
+                  double minimum,
+                  void (*each)(void *context, const char *adapter,
+                               double rate),
+                  void *context)
+{
+    GHashTableIter iter;
+    gpointer adapter;
+    gpointer rate;
+    g_hash_table_iter_init(&iter, popularity->rates);
+    while (g_hash_table_iter_next(&iter, &adapter, &rate)) {
+        double value = decayed(rate, now) * DECAY_PER_S;
+        if (value >= minimum) {
+            each(context, adapter, value);
+        }
+    }
+}
--- /dev/null
+++ b/packages/placement/src/scheduler.c
@@ -0,0 +1,623 @@
+/// @file scheduler.c
+/// An agent's scheduler.
+
+#include "placement/scheduler.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+static int
+compare_times(struct timespec a, struct timespec b)
+{
+    if (CmTime_Before(a, b)) {
+        return -1;
+    }
+    return CmTime_Before(b, a);
+}
+
+static int
+compare_jobs(const struct cm_job *a, const struct cm_job *b)
+{
+    if (a->priority != b->priority) {
+        return a->priority < b->priority ? -1 : 1;
+    }
+    return compare_times(a->deadline, b->deadline);
+}
+
+/// Order of wants that need a load: those with a waiting caller first, by
+/// their most urgent job; then prefetches.
+static int
+compare_wants(gconstpointer left, gconstpointer right, gpointer data)
+{
+    const struct cm_want *a = left;
+    const struct cm_want *b = right;
+    const struct cm_job *job_a = TAILQ_FIRST(&a->jobs);
+    const struct cm_job *job_b = TAILQ_FIRST(&b->jobs);
+    if (job_a == NULL || job_b == NULL) {
+        return (job_a == NULL) - (job_b == NULL);
+    }
+    return compare_jobs(job_a, job_b);
+}
+
+static int
+compare_deadlines(gconstpointer left, gconstpointer right, gpointer data)
+{
+    const struct cm_job *a = left;
+    const struct cm_job *b = right;
+    return compare_times(a->deadline, b->deadline);
+}
+
+static struct cm_want *
+want_new(const char *adapter)
+{
+    struct cm_want *want = g_new0(struct cm_want, 1);
+    want->adapter = g_strdup(adapter);
+    TAILQ_INIT(&want->jobs);
+    return want;
+}
+
+static void
+want_free(gpointer data)
+{
+    struct cm_want *want = data;
+    g_free(want->adapter);
+    g_free(want);
+}
+
+void
+CmScheduler_Init(struct cm_scheduler *scheduler,
+                 const struct cm_eviction_ops *eviction, size_t n_slots,
+                 size_t capacity)
+{
+    memset(scheduler, 0, sizeof(*scheduler));
+    scheduler->eviction = eviction;
+    scheduler->n_slots = n_slots;
+    scheduler->capacity = capacity;
+    scheduler->slots = g_new0(struct cm_slot, n_slots + 1);
+    scheduler->wants =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, want_free);
+    scheduler->waiting = g_sequence_new(NULL);
+    scheduler->deadlines = g_sequence_new(NULL);
+    CmPopularity_Init(&scheduler->popularity);
+    if (n_slots == 0) {
+        scheduler->plain = want_new("");
+    }
+}
+
+void
+CmScheduler_Finish(struct cm_scheduler *scheduler)
+{
+    if (scheduler->plain != NULL) {
+        want_free(scheduler->plain);
+    }
+    g_sequence_free(scheduler->waiting);
+    g_sequence_free(scheduler->deadlines);
+    g_hash_table_destroy(scheduler->wants);
+    CmPopularity_Finish(&scheduler->popularity);
+    g_free(scheduler->slots);
+}
+
+static struct cm_want *
+find_want(struct cm_scheduler *scheduler, const char *adapter)
+{
+    if (scheduler->plain != NULL) {
+        return scheduler->plain;
+    }
+    struct cm_want *want = g_hash_table_lookup(scheduler->wants, adapter);
+    if (want == NULL) {
+        want = want_new(adapter);
+        g_hash_table_insert(scheduler->wants, want->adapter, want);
+    }
+    return want;
+}
+
+/// Frees a want that nothing refers to any more.
+static void
+drop_if_unused(struct cm_scheduler *scheduler, struct cm_want *want)
+{
+    if (want == scheduler->plain || want->slot != NULL ||
+        want->waiting != NULL || !TAILQ_EMPTY(&want->jobs)) {
+        return;
+    }
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        if (scheduler->slots[i].next == want) {
+            return;
+        }
+    }
+    g_hash_table_remove(scheduler->wants, want->adapter);
+}
+
+/// Keeps the want's place among those that need a load.
+static void
+update_waiting(struct cm_scheduler *scheduler, struct cm_want *want)
+{
+    if (want == scheduler->plain) {
+        return;
+    }
+    if (want->waiting != NULL) {
+        g_sequence_remove(want->waiting);
+        want->waiting = NULL;
+    }
+    bool needed = !TAILQ_EMPTY(&want->jobs) || want->prefetch;
+    if (needed && want->slot == NULL) {
+        want->waiting = g_sequence_insert_sorted(scheduler->waiting, want,
+                                                 compare_wants, NULL);
+    }
+}
+
+static void
+insert_job(struct cm_scheduler *scheduler, struct cm_want *want,
+           struct cm_job *job)
+{
+    struct cm_job *other;
+    scheduler->waiting_jobs++;
+    job->by_deadline = g_sequence_insert_sorted(scheduler->deadlines, job,
+                                                compare_deadlines, NULL);
+    TAILQ_FOREACH_REVERSE(other, &want->jobs, cm_job_queue, link)
+    {
+        if (compare_jobs(other, job) <= 0) {
+            TAILQ_INSERT_AFTER(&want->jobs, other, job, link);
+            return;
+        }
+    }
+    TAILQ_INSERT_HEAD(&want->jobs, job, link);
+}
+
+static void
+take_out_job(struct cm_scheduler *scheduler, struct cm_job *job)
+{
+    TAILQ_REMOVE(&job->want->jobs, job, link);
+    g_sequence_remove(job->by_deadline);
+    job->by_deadline = NULL;
+    scheduler->waiting_jobs--;
+}
+
+void
+CmScheduler_Add(struct cm_scheduler *scheduler, struct cm_job *job,
+                const char *adapter, struct timespec now)
+{
+    struct cm_want *want = find_want(scheduler, adapter);
+    job->want = want;
+    job->running = false;
+    insert_job(scheduler, want, job);
+    if (want != scheduler->plain) {
+        CmPopularity_Count(&scheduler->popularity, adapter, now);
+    }
+    update_waiting(scheduler, want);
+}
+
+static void
+release_pin(struct cm_scheduler *scheduler, struct cm_job *job,
+            struct timespec now)
+{
+    scheduler->running--;
+    job->running = false;
+    struct cm_slot *slot = job->slot;
+    // A slot cleared since (the engine restarted) holds no pin of this job.
+    if (slot != NULL && slot->epoch == job->slot_epoch) {
+        slot->pins--;
+        slot->used = now;
+    }
+    job->slot = NULL;
+}
+
+void
+CmScheduler_Remove(struct cm_scheduler *scheduler, struct cm_job *job,
+                   struct timespec now)
+{
+    struct cm_want *want = job->want;
+    if (job->running) {
+        release_pin(scheduler, job, now);
+    }
+    else {
+        take_out_job(scheduler, job);
+    }
+    job->want = NULL;
+    update_waiting(scheduler, want);
+    drop_if_unused(scheduler, want);
+}
+
+void
+CmScheduler_Requeue(struct cm_scheduler *scheduler, struct cm_job *job,
+                    struct timespec now)
+{
+    release_pin(scheduler, job, now);
+    insert_job(scheduler, job->want, job);
+    update_waiting(scheduler, job->want);
+}
+
+static struct cm_action
+no_action(void)
+{
+    return (struct cm_action){.kind = CM_ACTION_NONE};
+}
+
+/// @return the most urgent job that can run now, or NULL.
+static struct cm_job *
+startable_job(const struct cm_scheduler *scheduler)
+{
+    if (scheduler->plain != NULL) {
+        return TAILQ_FIRST(&scheduler->plain->jobs);
+    }
+    struct cm_job *best = NULL;
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        const struct cm_slot *slot = &scheduler->slots[i];
+        if (slot->state != CM_SLOT_READY || slot->closing) {
+            continue;
+        }
+        struct cm_job *job = TAILQ_FIRST(&slot->want->jobs);
+        if (job != NULL && (best == NULL || compare_jobs(job, best) < 0)) {
+            best = job;
+        }
+    }
+    return best;
+}
+
+static struct cm_action
+start_job(struct cm_scheduler *scheduler, struct cm_job *job,
+          struct timespec now)
+{
+    struct cm_want *want = job->want;
+    take_out_job(scheduler, job);
+    scheduler->running++;
+    job->running = true;
+    job->slot = want->slot;
+    if (want->slot != NULL) {
+        job->slot_epoch = want->slot->epoch;
+        want->slot->pins++;
+        want->slot->used = now;
+    }
+    return (struct cm_action){.kind = CM_ACTION_START, .job = job};
+}
+
+static struct cm_action
+expire_jobs(struct cm_scheduler *scheduler, struct timespec now)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(scheduler->deadlines);
+    if (g_sequence_iter_is_end(first)) {
+        return no_action();
+    }
+    struct cm_job *job = g_sequence_get(first);
+    if (CmTime_Before(now, job->deadline)) {
+        return no_action();
+    }
+    return (struct cm_action){.kind = CM_ACTION_REFUSE_DEADLINE, .job = job};
+}
+
+static struct cm_slot *
+empty_slot(const struct cm_scheduler *scheduler)
+{
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        struct cm_slot *slot = &scheduler->slots[i];
+        if (slot->state == CM_SLOT_EMPTY && slot->next == NULL) {
+            return slot;
+        }
+    }
+    return NULL;
+}
+
+/// @return the ready slot of least worth among those that are idle (or, with
+///         `busy`, among those still serving), or NULL.
+static struct cm_slot *
+cheapest_slot(const struct cm_scheduler *scheduler, bool busy,
+              struct timespec now)
+{
+    struct cm_slot *cheapest = NULL;
+    double least = 0;
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        struct cm_slot *slot = &scheduler->slots[i];
+        if (slot->state != CM_SLOT_READY || (slot->closing && busy)) {
+            continue;
+        }
+        bool idle = slot->pins == 0 &&
+                    (TAILQ_EMPTY(&slot->want->jobs) || slot->closing);
+        if (idle == busy) {
+            continue;
+        }
+        double worth = scheduler->eviction->worth(scheduler, slot, now);
+        if (cheapest == NULL || worth < least) {
+            cheapest = slot;
+            least = worth;
+        }
+    }
+    return cheapest;
+}
+
+static struct cm_action
+load_into(struct cm_scheduler *scheduler, struct cm_slot *slot,
+          struct cm_want *want)
+{
+    slot->state = CM_SLOT_LOADING;
+    slot->want = want;
+    slot->next = NULL;
+    slot->pins = 0;
+    slot->closing = false;
+    want->slot = slot;
+    scheduler->loading++;
+    if (scheduler->permits > 0) {
+        scheduler->permits--;
+    }
+    update_waiting(scheduler, want);
+    return (struct cm_action){
+        .kind = CM_ACTION_LOAD, .slot = slot, .reason = "caller waits"};
+}
+
+static struct cm_action
+evict_for(struct cm_slot *slot, struct cm_want *want)
+{
+    slot->state = CM_SLOT_UNLOADING;
+    slot->next = want;
+    return (struct cm_action){.kind = CM_ACTION_EVICT,
+                              .slot = slot,
+                              .reason = "least worth keeping"};
+}
+
+/// @return whether a slot is already being cleared for `want`.
+static bool
+has_reserved_slot(const struct cm_scheduler *scheduler,
+                  const struct cm_want *want)
+{
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        if (scheduler->slots[i].next == want) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Closes the cheapest busy slot once a caller has waited long enough, so
+/// that a stream of hot requests cannot hold all slots for ever.
+static void
+close_a_slot(struct cm_scheduler *scheduler, const struct cm_want *want,
+             struct timespec now)
+{
+    const struct cm_job *job = TAILQ_FIRST(&want->jobs);
+    if (job == NULL ||
+        CmTime_DiffMs(now, job->arrived) < CM_SLOT_PATIENCE_MS) {
+        return;
+    }
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        const struct cm_slot *slot = &scheduler->slots[i];
+        if (slot->closing || slot->state != CM_SLOT_READY) {
+            return; // one slot at a time, and one is on its way already
+        }
+    }
+    struct cm_slot *slot = cheapest_slot(scheduler, true, now);
+    if (slot != NULL) {
+        slot->closing = true;
+    }
+}
+
+/// @return the next step towards loading `want`.
+static struct cm_action
+bring_in(struct cm_scheduler *scheduler, struct cm_want *want,
+         struct timespec now)
+{
+    struct cm_slot *slot = empty_slot(scheduler);
+    if (slot != NULL) {
+        return load_into(scheduler, slot, want);
+    }
+    if (TAILQ_EMPTY(&want->jobs)) {
+        return no_action(); // a prefetch never evicts
+    }
+    slot = cheapest_slot(scheduler, false, now);
+    if (slot != NULL) {
+        return evict_for(slot, want);
+    }
+    close_a_slot(scheduler, want, now);
+    return no_action();
+}
+
+static bool
+may_load(const struct cm_scheduler *scheduler)
+{
+    size_t reserved = 0;
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        reserved += scheduler->slots[i].next != NULL;
+    }
+    return scheduler->permits > reserved &&
+           scheduler->loading + reserved < CM_LOADS_AT_ONCE;
+}
+
+/// Gives a cleared slot to the adapter it was cleared for.
+static struct cm_action
+load_reserved(struct cm_scheduler *scheduler)
+{
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        struct cm_slot *slot = &scheduler->slots[i];
+        if (slot->state != CM_SLOT_EMPTY || slot->next == NULL) {
+            continue;
+        }
+        struct cm_want *want = slot->next;
+        if (!TAILQ_EMPTY(&want->jobs)) {
+            return load_into(scheduler, slot, want);
+        }
+        slot->next = NULL; // its callers have gone meanwhile
+        drop_if_unused(scheduler, want);
+    }
+    return no_action();
+}
+
+/// Lets closed slots take jobs again once no load waits for a slot.
+static void
+reopen_slots(struct cm_scheduler *scheduler)
+{
+    if (g_sequence_get_length(scheduler->waiting) > 0) {
+        return;
+    }
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        scheduler->slots[i].closing = false;
+    }
+}
+
+static struct cm_action
+next_load(struct cm_scheduler *scheduler, struct timespec now)
+{
+    struct cm_action reserved = load_reserved(scheduler);
+    if (reserved.kind != CM_ACTION_NONE) {
+        return reserved;
+    }
+    GSequenceIter *iter = g_sequence_get_begin_iter(scheduler->waiting);
+    while (!g_sequence_iter_is_end(iter)) {
+        struct cm_want *want = g_sequence_get(iter);
+        if (want->failures >= CM_LOAD_FAILURES_MAX &&
+            !TAILQ_EMPTY(&want->jobs)) {
+            return (struct cm_action){.kind = CM_ACTION_REFUSE_LOAD,
+                                      .job = TAILQ_FIRST(&want->jobs)};
+        }
+        if (!may_load(scheduler)) {
+            return no_action();
+        }
+        bool ready = !CmTime_Before(now, want->retry_at);
+        if (ready && !has_reserved_slot(scheduler, want)) {
+            // Where this one finds no slot, no later one does either.
+            return bring_in(scheduler, want, now);
+        }
+        iter = g_sequence_iter_next(iter);
+    }
+    return no_action();
+}
+
+struct cm_action
+CmScheduler_Next(struct cm_scheduler *scheduler, struct timespec now)
+{
+    struct cm_action action = expire_jobs(scheduler, now);
+    if (action.kind != CM_ACTION_NONE || scheduler->stopped) {
+        return action;
+    }
+    reopen_slots(scheduler);
+    if (scheduler->running < scheduler->capacity) {
+        struct cm_job *job = startable_job(scheduler);
+        if (job != NULL) {
+            return start_job(scheduler, job, now);
+        }
+    }
+    return next_load(scheduler, now);
+}
+
+/// Empties a slot and lets its adapter wait again where it is still wanted.
+static void
+clear_slot(struct cm_scheduler *scheduler, struct cm_slot *slot)
+{
+    struct cm_want *want = slot->want;
+    slot->state = CM_SLOT_EMPTY;
+    slot->want = NULL;
+    slot->epoch++;
+    slot->pins = 0;
+    slot->closing = false;
+    if (want != NULL) {
+        want->slot = NULL;
+        update_waiting(scheduler, want);
+        drop_if_unused(scheduler, want);
+    }
+}
+
+void
+CmScheduler_Loaded(struct cm_scheduler *scheduler, struct cm_slot *slot,
+                   bool ok, struct timespec now)
+{
+    struct cm_want *want = slot->want;
+    scheduler->loading--;
+    if (ok) {
+        slot->state = CM_SLOT_READY;
+        slot->used = now;
+        want->failures = 0;
+        want->prefetch = false;
+        return;
+    }
+    want->failures++;
+    want->retry_at = CmTime_AddMs(now, CM_LOAD_RETRY_MS * want->failures);
+    if (want->failures >= CM_LOAD_FAILURES_MAX) {
+        want->prefetch = false;
+    }
+    clear_slot(scheduler, slot);
+}
+
+void
+CmScheduler_Evicted(struct cm_scheduler *scheduler, struct cm_slot *slot,
+                    bool ok, struct timespec now)
+{
+    if (ok) {
+        clear_slot(scheduler, slot);
+        return;
+    }
+    slot->state = CM_SLOT_READY;
+    slot->next = NULL;
+    slot->used = now;
+}
+
+void
+CmScheduler_Lost(struct cm_scheduler *scheduler, const char *adapter)
+{
+    struct cm_want *want = g_hash_table_lookup(scheduler->wants, adapter);
+    if (want == NULL || want->slot == NULL ||
+        want->slot->state != CM_SLOT_READY) {
+        return;
+    }
+    if (want->slot->pins == 0) {
+        clear_slot(scheduler, want->slot);
+    }
+    else {
+        want->slot->closing = true;
+    }
+}
+
+bool
+CmScheduler_Adopt(struct cm_scheduler *scheduler, const char *adapter,
+                  struct timespec now)
+{
+    struct cm_slot *slot = empty_slot(scheduler);
+    struct cm_want *want = find_want(scheduler, adapter);
+    if (slot == NULL || want->slot != NULL) {
+        bool held = want->slot != NULL;
+        drop_if_unused(scheduler, want);
+        return held;
+    }
+    slot->state = CM_SLOT_READY;
+    slot->want = want;
+    slot->used = now;
+    want->slot = slot;
+    update_waiting(scheduler, want);
+    return true;
+}
+
+void
+CmScheduler_Reset(struct cm_scheduler *scheduler)
+{
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        struct cm_slot *slot = &scheduler->slots[i];
+        // Loads and evictions under way end by their own answers.
+        if (slot->state == CM_SLOT_READY) {
+            clear_slot(scheduler, slot);
+        }
+    }
+}
+
+void
+CmScheduler_Prefetch(struct cm_scheduler *scheduler, const char *adapter,
+                     struct timespec now)
+{
+    if (scheduler->plain != NULL) {
+        return;
+    }
+    struct cm_want *want = find_want(scheduler, adapter);
+    if (want->slot == NULL) {
+        want->prefetch = true;
+        update_waiting(scheduler, want);
+    }
+}
+
+size_t
+CmScheduler_LoadsWanted(const struct cm_scheduler *scheduler,
+                        struct timespec *deadline)
+{
+    size_t count = (size_t)g_sequence_get_length(scheduler->waiting);
+    if (count > 0) {
+        GSequenceIter *first = g_sequence_get_begin_iter(scheduler->waiting);
+        const struct cm_want *want = g_sequence_get(first);
+        const struct cm_job *job = TAILQ_FIRST(&want->jobs);
+        *deadline = job != NULL ? job->deadline : (struct timespec){0};
+    }
+    return count;
+}
--- /dev/null
+++ b/packages/platform/src/objects.c
@@ -0,0 +1,282 @@
+/// @file objects.c
+/// The object API over HTTP.
+
+#include "platform/objects.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/client.h"
+
+#define API_PREFIX "/apis/coriandermoor.io/v1/"
+#define STATUS_OK 200
+#define STATUS_CREATED 201
+#define STATUS_NOT_FOUND 404
+#define STATUS_CONFLICT 409
+#define STATUS_TOO_LARGE 413
+#define STATUS_TOO_MANY 429
+#define STATUS_SERVER_ERROR 500
+
+static void
+on_head(void *context, int status, struct evkeyvalq *headers)
+{
+    ((struct cm_object_call *)context)->status = status;
+}
+
+static void
+on_data(void *context, const void *data, size_t size)
+{
+    struct cm_object_call *call = context;
+    g_string_append_len(call->body, data, (gssize)size);
+}
+
+static enum cm_object_result
+classify(const struct cm_object_call *call, enum cm_http_end end)
+{
+    if (end == CM_HTTP_REFUSED) {
+        return CM_OBJECT_REFUSED;
+    }
+    if (end == CM_HTTP_BROKEN || call->status >= STATUS_SERVER_ERROR) {
+        return CM_OBJECT_UNSURE;
+    }
+    switch (call->status) {
+    case STATUS_OK:
+    case STATUS_CREATED:
+        return CM_OBJECT_OK;
+    case STATUS_NOT_FOUND:
+        return CM_OBJECT_MISSING;
+    case STATUS_CONFLICT:
+        return CM_OBJECT_CONFLICT;
+    case STATUS_TOO_LARGE:
+    case STATUS_TOO_MANY:
+        return CM_OBJECT_LIMIT;
+    default:
+        return CM_OBJECT_REFUSED;
+    }
+}
+
+static void
+on_end(void *context, enum cm_http_end end)
+{
+    struct cm_object_call *call = context;
+    enum cm_object_result result = classify(call, end);
+    json_t *object = NULL;
+    if (result == CM_OBJECT_OK) {
+        object = json_loadb(call->body->str, call->body->len, 0, NULL);
+        if (object == NULL) {
+            result = CM_OBJECT_UNSURE;
+        }
+    }
+    call->active = false;
+    call->done(call->context, result, object);
+    json_decref(object);
+}
+
+static const struct cm_http_handler call_handler = {on_head, on_data, on_end};
+
+static void
+start(struct cm_objects *base, struct cm_object_call *call,
+      enum evhttp_cmd_type method, const char *kind, const char *name,
+      const json_t *object)
+{
+    struct cm_http_objects *objects = (struct cm_http_objects *)base;
+    char *path = g_strconcat(API_PREFIX, kind, "/", name, NULL);
+    char *body = object != NULL ? json_dumps(object, JSON_COMPACT) : NULL;
+    static const struct cm_http_header headers[] = {
+        {"Content-Type", "application/json"}};
+    struct cm_http_request request = {
+        .address = objects->address,
+        .method = method,
+        .path = path,
+        .headers = headers,
+        .n_headers = body != NULL,
+        .body = body,
+        .body_size = body != NULL ? strlen(body) : 0,
+        .timeout_ms = CM_OBJECT_TIMEOUT_MS,
+    };
+    call->active = true;
+    call->status = 0;
+    g_string_truncate(call->body, 0);
+    if (method == EVHTTP_REQ_GET) {
+        base->reads++;
+    }
+    else {
+        base->writes++;
+    }
+    CmHttpCall_Start(&call->http, objects->client, &request, &call_handler,
+                     call);
+    free(body);
+    g_free(path);
+}
+
+static void
+get(struct cm_objects *objects, struct cm_object_call *call, const char *kind,
+    const char *name)
+{
+    start(objects, call, EVHTTP_REQ_GET, kind, name, NULL);
+}
+
+static void
+create(struct cm_objects *objects, struct cm_object_call *call,
+       const char *kind, const char *name, const json_t *object)
+{
+    start(objects, call, EVHTTP_REQ_POST, kind, name, object);
+}
+
+static void
+update(struct cm_objects *objects, struct cm_object_call *call,
+       const char *kind, const char *name, const json_t *object)
+{
+    start(objects, call, EVHTTP_REQ_PUT, kind, name, object);
+}
+
+static void
+remove_object(struct cm_objects *objects, struct cm_object_call *call,
+              const char *kind, const char *name)
+{
+    start(objects, call, EVHTTP_REQ_DELETE, kind, name, NULL);
+}
+
+static void
+cancel(struct cm_objects *objects, struct cm_object_call *call)
+{
+    call->active = false;
+    CmHttpCall_Cancel(&call->http);
+}
+
+static void
+hand_on_line(struct cm_object_watch *watch, const char *line, size_t size)
+{
+    json_t *event = json_loadb(line, size, 0, NULL);
+    const char *type = json_string_value(json_object_get(event, "type"));
+    json_t *object = json_object_get(event, "object");
+    if (type != NULL && object != NULL) {
+        watch->event(watch->context, type, object);
+    }
+    json_decref(event);
+}
+
+static void
+on_watch_data(void *context, const void *data, size_t size)
+{
+    struct cm_object_watch *watch = context;
+    g_string_append_len(watch->line, data, (gssize)size);
+    char *newline;
+    while ((newline = memchr(watch->line->str, '\n', watch->line->len)) !=
+           NULL) {
+        size_t length = (size_t)(newline - watch->line->str);
+        hand_on_line(watch, watch->line->str, length);
+        g_string_erase(watch->line, 0, (gssize)length + 1);
+    }
+    if (watch->line->len > 2 * CM_OBJECT_VALUE_MAX) {
+        g_string_truncate(watch->line, 0);
+    }
+}
+
+static void
+on_watch_end(void *context, enum cm_http_end end)
+{
+    struct cm_object_watch *watch = context;
+    watch->ended(watch->context);
+}
+
+static const struct cm_http_handler watch_handler = {NULL, on_watch_data,
+                                                     on_watch_end};
+
+static void
+watch_kind(struct cm_objects *base, struct cm_object_watch *watch,
+           const char *kind, const char *version)
+{
+    struct cm_http_objects *objects = (struct cm_http_objects *)base;
+    char *path = g_strdup_printf(
+        "%s%s?watch=true&allowWatchBookmarks=true&resourceVersion=%s",
+        API_PREFIX, kind, version);
+    struct cm_http_request request = {
+        .address = objects->address,
+        .method = EVHTTP_REQ_GET,
+        .path = path,
+        .timeout_ms = CM_WATCH_SILENCE_MS,
+    };
+    base->watches++;
+    g_string_truncate(watch->line, 0);
+    CmHttpCall_Start(&watch->http, objects->client, &request, &watch_handler,
+                     watch);
+    g_free(path);
+}
+
+static void
+unwatch(struct cm_objects *objects, struct cm_object_watch *watch)
+{
+    CmHttpCall_Cancel(&watch->http);
+}
+
+static const struct cm_objects_ops http_ops = {
+    get, create, update, remove_object, watch_kind, cancel, unwatch};
+
+void
+CmHttpObjects_Init(struct cm_http_objects *objects,
+                   struct cm_http_client *client, const char *address)
+{
+    memset(objects, 0, sizeof(*objects));
+    objects->base.ops = &http_ops;
+    objects->client = client;
+    objects->address = address;
+}
+
+void
+CmObjectCall_Init(struct cm_object_call *call, cm_object_done done,
+                  void *context)
+{
+    memset(call, 0, sizeof(*call));
+    call->done = done;
+    call->context = context;
+    call->body = g_string_new(NULL);
+}
+
+void
+CmObjectCall_Finish(struct cm_objects *objects, struct cm_object_call *call)
+{
+    objects->ops->cancel(objects, call);
+    g_string_free(call->body, TRUE);
+}
+
+void
+CmObjectWatch_Init(struct cm_object_watch *watch, cm_object_event event,
+                   void (*ended)(void *context), void *context)
+{
+    memset(watch, 0, sizeof(*watch));
+    watch->event = event;
+    watch->ended = ended;
+    watch->context = context;
+    watch->line = g_string_new(NULL);
+}
+
+void
+CmObjectWatch_Finish(struct cm_objects *objects, struct cm_object_watch *watch)
+{
+    objects->ops->unwatch(objects, watch);
+    g_string_free(watch->line, TRUE);
+}
+
+const char *
+CmObject_Version(const json_t *object)
+{
+    return json_string_value(json_object_get(
+        json_object_get(object, "metadata"), "resourceVersion"));
+}
+
+json_t *
+CmObject_Spec(const json_t *object)
+{
+    return json_object_get(object, "spec");
+}
+
+json_t *
+CmObject_New(const char *version, json_t *spec)
+{
+    json_t *metadata = json_object();
+    if (version != NULL) {
+        json_object_set_new(metadata, "resourceVersion", json_string(version));
+    }
+    return json_pack("{s:o,s:o}", "metadata", metadata, "spec", spec);
+}
--- /dev/null
+++ b/packages/revision/src/revisions_internal.h
@@ -0,0 +1,17 @@
+/// @file revisions_internal.h
+/// What revisions.c and submit.c share.
+
+#ifndef REVISIONS_INTERNAL_H
+#define REVISIONS_INTERNAL_H
+
+#include "revision/revisions.h"
+
+/// Frees a GString; for tables.
+void
+CmRevisions_FreeText(gpointer text);
+
+/// Gives a submission up without a callback.
+void
+CmRevisions_FreeSubmit(struct cm_revision_submit *submit);
+
+#endif
--- /dev/null
+++ b/packages/routing/src/router.c
@@ -0,0 +1,395 @@
+/// @file router.c
+/// Tables of services, targets and adapters behind the routing policies.
+
+#include "routing/router.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#define DEFAULT_LOAD_MS 250
+#define DEFAULT_RUN_MS 100
+/// Share of an engine's capacity that one adapter fills before it gets a
+/// further home.
+#define HOME_FILL 0.7
+
+static void
+adapter_free(gpointer data)
+{
+    struct cm_route_adapter *adapter = data;
+    g_array_free(adapter->holders, TRUE);
+    g_free(adapter->name);
+    g_free(adapter);
+}
+
+void
+CmRouter_Init(struct cm_router *router, const struct cm_policy_ops *policy,
+              GRand *random)
+{
+    memset(router, 0, sizeof(*router));
+    router->policy = policy;
+    router->random = random;
+    router->targets = g_hash_table_new(g_str_hash, g_str_equal);
+    router->stall_weight = 0.5;
+    router->batch_weight = 0.5;
+    router->entries = 1;
+    LIST_INIT(&router->services);
+}
+
+static void
+service_free(struct cm_router *router, struct cm_route_service *service)
+{
+    struct cm_route_target *target;
+    while ((target = LIST_FIRST(&service->targets)) != NULL) {
+        CmRouter_RemoveTarget(router, target);
+    }
+    LIST_REMOVE(service, link);
+    g_hash_table_destroy(service->adapters);
+    CmPopularity_Finish(&service->popularity);
+    g_ptr_array_free(service->usable, TRUE);
+    g_free(service->name);
+    g_free(service);
+}
+
+void
+CmRouter_Finish(struct cm_router *router)
+{
+    struct cm_route_service *service;
+    while ((service = LIST_FIRST(&router->services)) != NULL) {
+        service_free(router, service);
+    }
+    g_hash_table_destroy(router->targets);
+}
+
+struct cm_route_service *
+CmRouter_Service(struct cm_router *router, const char *name, bool engines)
+{
+    struct cm_route_service *service;
+    CmList_FOREACH (service, &router->services, link) {
+        if (strcmp(service->name, name) == 0) {
+            return service;
+        }
+    }
+    service = g_new0(struct cm_route_service, 1);
+    service->name = g_strdup(name);
+    service->engines = engines;
+    service->epoch = 1;
+    service->usable = g_ptr_array_new();
+    service->adapters =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, adapter_free);
+    CmPopularity_Init(&service->popularity);
+    LIST_INIT(&service->targets);
+    LIST_INSERT_HEAD(&router->services, service, link);
+    return service;
+}
+
+struct cm_route_target *
+CmRouter_FindTarget(const struct cm_router *router, const char *name)
+{
+    return g_hash_table_lookup(router->targets, name);
+}
+
+struct cm_route_target *
+CmRouter_Target(struct cm_router *router, struct cm_route_service *service,
+                const char *name, bool other_zone)
+{
+    struct cm_route_target *target = CmRouter_FindTarget(router, name);
+    if (target == NULL) {
+        target = g_new0(struct cm_route_target, 1);
+        target->service = service;
+        target->name = g_strdup(name);
+        target->name_hash = CmHash_Text(name, 0);
+        target->capacity = 1;
+        target->load_ms = DEFAULT_LOAD_MS;
+        target->run_ms = DEFAULT_RUN_MS;
+        target->holds = g_ptr_array_new();
+        LIST_INSERT_HEAD(&service->targets, target, link);
+        service->n_targets++;
+        g_hash_table_insert(router->targets, target->name, target);
+    }
+    target->other_zone = other_zone;
+    return target;
+}
+
+void
+CmRouter_RemoveTarget(struct cm_router *router, struct cm_route_target *target)
+{
+    CmRouter_SetUsable(router, target, false, (struct timespec){0});
+    CmRouter_ClearHolds(target);
+    LIST_REMOVE(target, link);
+    target->service->n_targets--;
+    g_hash_table_remove(router->targets, target->name);
+    g_ptr_array_free(target->holds, TRUE);
+    g_free(target->name);
+    g_free(target);
+}
+
+void
+CmRouter_SetUsable(struct cm_router *router, struct cm_route_target *target,
+                   bool usable, struct timespec now)
+{
+    if (target->usable == usable) {
+        return;
+    }
+    struct cm_route_service *service = target->service;
+    target->usable = usable;
+    service->epoch++;
+    if (usable) {
+        target->index = service->usable->len;
+        target->returned = now;
+        target->failures = 0;
+        g_ptr_array_add(service->usable, target);
+        return;
+    }
+    g_ptr_array_remove_index_fast(service->usable, (guint)target->index);
+    if (target->index < service->usable->len) {
+        struct cm_route_target *moved =
+            g_ptr_array_index(service->usable, target->index);
+        moved->index = target->index;
+    }
+}
+
+struct cm_route_adapter *
+CmRouter_Adapter(struct cm_route_service *service, const char *name)
+{
+    struct cm_route_adapter *adapter =
+        g_hash_table_lookup(service->adapters, name);
+    if (adapter == NULL) {
+        adapter = g_new0(struct cm_route_adapter, 1);
+        adapter->name = g_strdup(name);
+        adapter->name_hash = CmHash_Text(name, 0);
+        adapter->holders = g_array_new(FALSE, TRUE, sizeof(struct cm_holder));
+        g_hash_table_insert(service->adapters, adapter->name, adapter);
+    }
+    return adapter;
+}
+
+static struct cm_holder *
+find_holder(struct cm_route_adapter *adapter,
+            const struct cm_route_target *target)
+{
+    for (guint i = 0; i < adapter->holders->len; i++) {
+        struct cm_holder *holder =
+            &g_array_index(adapter->holders, struct cm_holder, i);
+        if (holder->target == target) {
+            return holder;
+        }
+    }
+    return NULL;
+}
+
+static void
+remove_holder(struct cm_route_adapter *adapter,
+              const struct cm_route_target *target)
+{
+    for (guint i = 0; i < adapter->holders->len; i++) {
+        if (g_array_index(adapter->holders, struct cm_holder, i).target ==
+            target) {
+            g_array_remove_index_fast(adapter->holders, i);
+            return;
+        }
+    }
+}
+
+void
+CmRouter_ClearHolds(struct cm_route_target *target)
+{
+    for (guint i = 0; i < target->holds->len; i++) {
+        remove_holder(g_ptr_array_index(target->holds, i), target);
+    }
+    g_ptr_array_set_size(target->holds, 0);
+    target->loading = 0;
+}
+
+static struct cm_holder *
+add_holder(struct cm_route_target *target, struct cm_route_adapter *adapter)
+{
+    struct cm_holder *holder = find_holder(adapter, target);
+    if (holder != NULL) {
+        return holder;
+    }
+    struct cm_holder new_holder = {.target = target};
+    g_array_append_val(adapter->holders, new_holder);
+    g_ptr_array_add(target->holds, adapter);
+    return find_holder(adapter, target);
+}
+
+void
+CmRouter_AddHold(struct cm_route_target *target, const char *name, bool ready)
+{
+    struct cm_route_adapter *adapter = CmRouter_Adapter(target->service, name);
+    struct cm_holder *holder = add_holder(target, adapter);
+    holder->ready = ready;
+    holder->reported = true;
+    target->loading += !ready;
+}
+
+bool
+CmRouter_IsHeld(const struct cm_route_service *service, const char *name)
+{
+    const struct cm_route_adapter *adapter =
+        g_hash_table_lookup(service->adapters, name);
+    for (guint i = 0; adapter != NULL && i < adapter->holders->len; i++) {
+        if (g_array_index(adapter->holders, struct cm_holder, i)
+                .target->usable) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return how many homes the adapter's demand calls for.
+static size_t
+homes_wanted(const struct cm_router *router,
+             const struct cm_route_service *service,
+             const struct cm_route_adapter *adapter, struct timespec now)
+{
+    const struct cm_route_target *any = g_ptr_array_index(service->usable, 0);
+    double rate = CmPopularity_Rate(&service->popularity, adapter->name, now) *
+                  router->entries;
+    double at_once = rate * any->run_ms / CM_MS_PER_S;
+    double homes = ceil(at_once / ((double)any->capacity * HOME_FILL));
+    // One more than demand calls for, to spill to.
+    homes = homes < 1 ? 2 : homes + 1;
+    return homes < CM_HOMES_MAX ? (size_t)homes : CM_HOMES_MAX;
+}
+
+/// Keeps the `max` best of the scores seen, best first.
+static size_t
+keep_best(struct cm_route_target **best, uint64_t *scores, size_t n,
+          size_t max, struct cm_route_target *target, uint64_t score)
+{
+    size_t place = n;
+    while (place > 0 && scores[place - 1] < score) {
+        place--;
+    }
+    if (place >= max) {
+        return n;
+    }
+    size_t last = n < max ? n : max - 1;
+    for (size_t i = last; i > place; i--) {
+        best[i] = best[i - 1];
+        scores[i] = scores[i - 1];
+    }
+    best[place] = target;
+    scores[place] = score;
+    return n < max ? n + 1 : max;
+}
+
+size_t
+CmRouter_Homes(struct cm_router *router, struct cm_route_service *service,
+               struct cm_route_adapter *adapter, struct timespec now)
+{
+    size_t wanted = homes_wanted(router, service, adapter, now);
+    if (adapter->homes_epoch != service->epoch) {
+        // Highest random weight: Thaler and Ravishankar, 1998.
+        uint64_t scores[CM_HOMES_MAX];
+        adapter->n_homes = 0;
+        for (guint i = 0; i < service->usable->len; i++) {
+            struct cm_route_target *target =
+                g_ptr_array_index(service->usable, i);
+            uint64_t pair[2] = {target->name_hash, adapter->name_hash};
+            adapter->n_homes = keep_best(
+                adapter->homes, scores, adapter->n_homes, CM_HOMES_MAX, target,
+                CmHash_Bytes(pair, sizeof(pair), 0));
+        }
+        adapter->homes_epoch = service->epoch;
+    }
+    return wanted < adapter->n_homes ? wanted : adapter->n_homes;
+}
+
+void
+CmRouter_Pick(struct cm_router *router, struct cm_route_service *service,
+              const struct cm_route_request *request, struct timespec now,
+              struct cm_route_decision *decision)
+{
+    memset(decision, 0, sizeof(*decision));
+    if (request->adapter != NULL && request->n_tried == 0) {
+        CmPopularity_Count(&service->popularity, request->adapter, now);
+    }
+    if (service->usable->len == 0) {
+        decision->end = CM_ROUTE_NO_TARGET;
+        decision->reason = "no usable target";
+        return;
+    }
+    router->policy->pick(router, service, request, now, decision);
+    if (decision->target == NULL) {
+        decision->end = CM_ROUTE_NO_TARGET;
+        decision->reason = "no target is left to try";
+        return;
+    }
+    if (decision->wait_ms > (double)request->left_ms) {
+        decision->end = CM_ROUTE_TOO_LATE;
+        decision->reason = "the expected wait exceeds the time left";
+        return;
+    }
+    decision->end = CM_ROUTE_PICKED;
+}
+
+void
+CmRouter_Sent(struct cm_route_target *target, const char *adapter_name,
+              bool loads, bool suspect, struct timespec now)
+{
+    target->outstanding++;
+    target->unseen++;
+    target->suspects += suspect;
+    if (!loads || adapter_name == NULL) {
+        return;
+    }
+    // Later requests for the adapter gather behind this one's load.
+    struct cm_route_adapter *adapter =
+        CmRouter_Adapter(target->service, adapter_name);
+    struct cm_holder *holder = add_holder(target, adapter);
+    holder->expected_until = CmTime_AddMs(now, CM_EXPECTED_LOAD_MS);
+}
+
+static size_t
+count_ejected(const struct cm_route_service *service, struct timespec now)
+{
+    size_t count = 0;
+    for (guint i = 0; i < service->usable->len; i++) {
+        const struct cm_route_target *target =
+            g_ptr_array_index(service->usable, i);
+        count += CmTime_Before(now, target->ejected_until);
+    }
+    return count;
+}
+
+void
+CmRouter_Ended(struct cm_router *router, struct cm_route_target *target,
+               bool failed, bool suspect, struct timespec now)
+{
+    if (target->outstanding > 0) {
+        target->outstanding--;
+    }
+    if (suspect && target->suspects > 0) {
+        target->suspects--;
+    }
+    if (!failed) {
+        target->failures = 0;
+        return;
+    }
+    target->failures++;
+    const struct cm_route_service *service = target->service;
+    size_t limit = service->n_targets * CM_EJECT_MAX_PERCENT / 100;
+    if (target->failures >= CM_EJECT_FAILURES &&
+        count_ejected(service, now) < limit) {
+        target->ejected_until = CmTime_AddMs(now, CM_EJECT_MS);
+        target->failures = 0;
+    }
+}
+
+char *
+CmRouter_DescribeCandidates(const struct cm_route_decision *decision)
+{
+    GString *text = g_string_new(NULL);
+    for (size_t i = 0; i < decision->n_candidates; i++) {
+        const struct cm_route_candidate *candidate = &decision->candidates[i];
+        g_string_append_printf(text, "%s%s cost=%.1f wait=%.1fms",
+                               i > 0 ? "; " : "", candidate->target->name,
+                               candidate->cost, candidate->wait_ms);
+    }
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/programs/coriandermoor-agent/main.c
@@ -0,0 +1,365 @@
+/// @file main.c
+/// coriandermoor-agent: the process beside one target. It alone gives orders
+/// to its target, and it is the last gate before a request runs.
+
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "admin.h"
+#include "agent.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "health.h"
+#include "jobs.h"
+#include "orders.h"
+#include "peers.h"
+#include "runs.h"
+
+#define TICK_MS 20
+#define HEALTH_INTERVAL_TICKS 25
+#define HEALTH_DOWN_TICKS 5
+#define EXPIRE_INTERVAL_TICKS 50
+#define REPORT_DELAY_MS 5
+/// A gap this long between two ticks means that the process was paused.
+#define PAUSE_MS 1000
+/// Time for the last messages to leave before the process ends.
+#define LINGER_MS 300
+
+struct timespec
+Agent_Now(const struct agent *agent)
+{
+    return CmClock_Now(agent->clock);
+}
+
+void
+Agent_Turn(struct agent *agent)
+{
+    event_active(agent->turn, EV_TIMEOUT, 0);
+}
+
+void
+Agent_ReportSoon(struct agent *agent)
+{
+    if (!event_pending(agent->report_soon, EV_TIMEOUT, NULL)) {
+        struct timeval delay = CmTime_Timeval(REPORT_DELAY_MS);
+        event_add(agent->report_soon, &delay);
+    }
+}
+
+static void
+on_report_soon(evutil_socket_t fd, short what, void *context)
+{
+    Peers_ReportAll(context);
+}
+
+/// Carries out what the scheduler decides until nothing is left to do.
+static void
+on_turn(evutil_socket_t fd, short what, void *context)
+{
+    struct agent *agent = context;
+    Orders_UpdatePermits(agent);
+    while (true) {
+        struct cm_action action =
+            CmScheduler_Next(&agent->scheduler, Agent_Now(agent));
+        switch (action.kind) {
+        case CM_ACTION_NONE:
+            return;
+        case CM_ACTION_START:
+            Run_Start((struct job *)action.job);
+            break;
+        case CM_ACTION_LOAD:
+            Orders_Load(agent, action.slot, action.reason);
+            break;
+        case CM_ACTION_EVICT:
+            Orders_Evict(agent, action.slot, action.reason);
+            break;
+        case CM_ACTION_REFUSE_DEADLINE:
+            Job_End((struct job *)action.job, CM_OUTCOME_NOT_RUN,
+                    CM_REASON_DEADLINE);
+            break;
+        case CM_ACTION_REFUSE_LOAD:
+            Job_End((struct job *)action.job, CM_OUTCOME_NOT_RUN,
+                    CM_REASON_LOAD_FAILED);
+            break;
+        }
+    }
+}
+
+static void
+on_message(void *context, const struct cm_link_peer *address,
+           const struct cm_message *message)
+{
+    struct agent *agent = context;
+    struct peer *peer = Peers_Find(agent, address);
+    switch (message->type) {
+    case CM_MSG_HELLO:
+        Peers_Hello(agent, peer, &message->hello);
+        break;
+    case CM_MSG_SUBMIT:
+        Jobs_Submit(agent, peer, &message->submit);
+        break;
+    case CM_MSG_CANCEL:
+        Jobs_Cancel(agent, message->cancel.id);
+        break;
+    case CM_MSG_CREDIT:
+        Jobs_Credit(agent, &message->credit);
+        break;
+    case CM_MSG_SEAL:
+        Jobs_Seal(agent, address, message->seal.id);
+        break;
+    case CM_MSG_ATTACH:
+        Jobs_Attach(agent, address, &message->attach);
+        break;
+    case CM_MSG_GRANT:
+        Orders_Granted(agent, address, &message->grant);
+        break;
+    case CM_MSG_PREFETCH: {
+        char *adapter = CmBytes_Dup(message->prefetch.adapter);
+        CmScheduler_Prefetch(&agent->scheduler, adapter, Agent_Now(agent));
+        g_free(adapter);
+        Agent_Turn(agent);
+        break;
+    }
+    default:
+        agent->count.bad_frames.value++;
+        break;
+    }
+}
+
+static void
+on_linger_over(evutil_socket_t fd, short what, void *context)
+{
+    event_base_loopbreak(((struct agent *)context)->base);
+}
+
+static void
+finish_stop(struct agent *agent)
+{
+    if (agent->finishing) {
+        return;
+    }
+    agent->finishing = true;
+    struct timeval linger = CmTime_Timeval(LINGER_MS);
+    event_base_once(agent->base, -1, EV_TIMEOUT, on_linger_over, agent,
+                    &linger);
+}
+
+static void
+check_stop(struct agent *agent)
+{
+    if (!agent->leaving) {
+        return;
+    }
+    int64_t since_ms = CmTime_DiffMs(Agent_Now(agent), agent->leaving_since);
+    if (Jobs_AllDone(agent) || since_ms >= agent->settings.stop_ms) {
+        finish_stop(agent);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *context)
+{
+    struct agent *agent = context;
+    struct timespec now = Agent_Now(agent);
+    struct timespec last = agent->last_tick;
+    if (last.tv_sec != 0 && CmTime_DiffMs(now, last) > PAUSE_MS) {
+        // Orders given before the pause may be outdated by now.
+        CmLog_Event(G_LOG_LEVEL_WARNING, "agent", NULL, "was paused for %d ms",
+                    (int)CmTime_DiffMs(now, last));
+        Orders_Reconcile(agent);
+    }
+    agent->last_tick = now;
+    agent->ticks++;
+    if (agent->scheduler.waiting_jobs > 0) {
+        Agent_Turn(agent);
+    }
+    if (agent->ticks % HEALTH_INTERVAL_TICKS == 0 ||
+        (!agent->healthy && agent->ticks % HEALTH_DOWN_TICKS == 0)) {
+        Health_Tick(agent);
+    }
+    if (agent->ticks % EXPIRE_INTERVAL_TICKS == 0) {
+        Jobs_Expire(agent);
+        Peers_Expire(agent);
+        Orders_Reconcile(agent);
+    }
+    agent->count.running.value = (int64_t)agent->scheduler.running;
+    agent->count.waiting.value = (int64_t)agent->scheduler.waiting_jobs;
+    check_stop(agent);
+}
+
+static void
+on_stop_signal(evutil_socket_t fd, short what, void *context)
+{
+    struct agent *agent = context;
+    if (agent->leaving) {
+        event_base_loopbreak(agent->base);
+        return;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "agent", NULL,
+                "leaving: %zu requests are running", agent->scheduler.running);
+    agent->leaving = true;
+    agent->leaving_since = Agent_Now(agent);
+    Jobs_RefuseWaiting(agent, CM_REASON_LEAVING);
+    Peers_ReportAll(agent);
+}
+
+static void
+init_events(struct agent *agent)
+{
+    struct event_base *base = agent->base;
+    agent->turn = event_new(base, -1, 0, on_turn, agent);
+    agent->report_soon = evtimer_new(base, on_report_soon, agent);
+    agent->tick = event_new(base, -1, EV_PERSIST, on_tick, agent);
+    agent->term = evsignal_new(base, SIGTERM, on_stop_signal, agent);
+    agent->interrupt = evsignal_new(base, SIGINT, on_stop_signal, agent);
+    struct timeval tick = CmTime_Timeval(TICK_MS);
+    event_add(agent->tick, &tick);
+    event_add(agent->term, NULL);
+    event_add(agent->interrupt, NULL);
+}
+
+static bool
+agent_init(struct agent *agent, GError **error)
+{
+    const struct cm_agent_settings *settings = &agent->settings;
+    const struct cm_eviction_ops *eviction =
+        CmEviction_Find(settings->eviction);
+    if (eviction == NULL) {
+        fprintf(stderr, "unknown eviction policy \"%s\"\n",
+                settings->eviction);
+        return false;
+    }
+    agent->clock = CmClock_System();
+    agent->base = event_base_new();
+    // Each start takes a higher number: the fence of its orders.
+    agent->incarnation = (uint64_t)CmClock_WallMs(agent->clock);
+    init_events(agent);
+    Admin_InitCounters(agent);
+    CmHttpClient_Init(&agent->client, agent->base);
+    CmEngine_InitOpenAi(&agent->engine, &agent->client, settings->address,
+                        agent->incarnation);
+    CmScheduler_Init(&agent->scheduler, eviction,
+                     settings->engine ? (size_t)settings->slots : 0,
+                     (size_t)settings->capacity);
+    Jobs_Init(agent);
+    LIST_INIT(&agent->peers);
+    Orders_Init(agent);
+    Health_Init(agent);
+    agent->zmq = zmq_ctx_new();
+    char *endpoint = g_strconcat("tcp://", settings->listen, NULL);
+    // Binding its fixed port excludes a second agent beside this target.
+    bool ok = CmLink_Bind(&agent->link, agent->zmq, agent->base, endpoint,
+                          on_message, agent, error);
+    agent->link.bad_frames = &agent->count.bad_frames.value;
+    g_free(endpoint);
+    return ok && Admin_Listen(agent, error);
+}
+
+static void
+agent_finish(struct agent *agent)
+{
+    if (agent->admin != NULL) {
+        evhttp_free(agent->admin);
+    }
+    Jobs_Finish(agent);
+    Orders_Finish(agent);
+    Health_Finish(agent);
+    Peers_Finish(agent);
+    CmScheduler_Finish(&agent->scheduler);
+    CmHttpClient_Finish(&agent->client);
+    CmLink_Finish(&agent->link);
+    event_free(agent->turn);
+    event_free(agent->report_soon);
+    event_free(agent->tick);
+    event_free(agent->term);
+    event_free(agent->interrupt);
+    zmq_ctx_term(agent->zmq);
+    event_base_free(agent->base);
+}
+
+static int
+run(struct agent *agent)
+{
+    GError *error = NULL;
+    if (!agent_init(agent, &error)) {
+        fprintf(stderr, "coriandermoor-agent: %s\n",
+                error != NULL ? error->message : "cannot start");
+        g_clear_error(&error);
+        return EXIT_FAILURE;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "agent", NULL,
+                "serves target %s of %s at %s", agent->settings.target,
+                agent->settings.service, agent->settings.listen);
+    Health_Tick(agent);
+    event_base_dispatch(agent->base);
+    agent_finish(agent);
+    return EXIT_SUCCESS;
+}
+
+static int
+usage(FILE *out, int code)
+{
+    fprintf(out, "usage: coriandermoor-agent [--version] [--help] "
+                 "--settings FILE\n");
+    return code;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct option options[] = {
+        {"settings", required_argument, NULL, 's'},
+        {"version", no_argument, NULL, 'v'},
+        {"help", no_argument, NULL, 'h'},
+        {0}};
+    const char *path = NULL;
+    int code;
+    while ((code = getopt_long(argc, argv, "s:vh", options, NULL)) != -1) {
+        if (code == 's') {
+            path = optarg;
+        }
+        else if (code == 'v') {
+            printf("coriandermoor-agent %s\n", CM_VERSION);
+            return EXIT_SUCCESS;
+        }
+        else {
+            return usage(code == 'h' ? stdout : stderr,
+                         code == 'h' ? EXIT_SUCCESS : EXIT_FAILURE);
+        }
+    }
+    if (path == NULL || optind != argc) {
+        return usage(stderr, EXIT_FAILURE);
+    }
+    signal(SIGPIPE, SIG_IGN);
+    size_t size;
+    GError *error = NULL;
+    char *text = CmSettings_LoadFile(path, &size, &error);
+    if (text == NULL) {
+        fprintf(stderr, "coriandermoor-agent: %s\n", error->message);
+        g_clear_error(&error);
+        return EXIT_FAILURE;
+    }
+    struct agent agent = {0};
+    struct cm_findings findings;
+    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
+    int result = EXIT_FAILURE;
+    if (CmSettings_ReadAgent(&agent.settings, text, size, &findings)) {
+        CmLog_Init(agent.settings.common.log_format,
+                   agent.settings.common.log_level,
+                   agent.settings.common.name);
+        result = run(&agent);
+    }
+    else {
+        char *report = CmFindings_Report(&findings);
+        fputs(report, stderr);
+        g_free(report);
+    }
+    CmSettings_FinishAgent(&agent.settings);
+    CmFindings_Finish(&findings);
+    g_free(text);
+    return result;
+}
--- /dev/null
+++ b/programs/coriandermoor-agent/peers.c
@@ -0,0 +1,176 @@
+/// @file peers.c
+/// Entries that an agent hears of.
+
+#include "peers.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+/// Silence after which an entry is forgotten altogether.
+#define FORGET_MS 60000
+
+static int64_t
+own_ms(const struct agent *agent)
+{
+    return CmTime_DiffMs(Agent_Now(agent), (struct timespec){0});
+}
+
+struct peer *
+Peers_Find(struct agent *agent, const struct cm_link_peer *address)
+{
+    struct peer *peer;
+    CmList_FOREACH (peer, &agent->peers, link) {
+        if (strcmp(peer->address.name, address->name) == 0) {
+            return peer;
+        }
+    }
+    peer = g_new0(struct peer, 1);
+    peer->address = *address;
+    peer->least_offset_ms = G_MAXINT64;
+    peer->heard = Agent_Now(agent);
+    LIST_INSERT_HEAD(&agent->peers, peer, link);
+    return peer;
+}
+
+static void
+peer_free(struct peer *peer)
+{
+    LIST_REMOVE(peer, link);
+    g_free(peer->name);
+    g_free(peer);
+}
+
+int64_t
+Peer_Age(const struct agent *agent, struct peer *peer, uint64_t sent_ms)
+{
+    int64_t offset_ms = own_ms(agent) - (int64_t)sent_ms;
+    if (offset_ms < peer->least_offset_ms) {
+        peer->least_offset_ms = offset_ms;
+    }
+    return offset_ms - peer->least_offset_ms;
+}
+
+static void
+fill_slots(const struct agent *agent, struct cm_msg_report *report)
+{
+    const struct cm_scheduler *scheduler = &agent->scheduler;
+    report->slots = g_new0(struct cm_msg_slot, scheduler->n_slots + 1);
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        const struct cm_slot *slot = &scheduler->slots[i];
+        bool shown = slot->state == CM_SLOT_LOADING ||
+                     (slot->state == CM_SLOT_READY && !slot->closing);
+        if (shown) {
+            report->slots[report->n_slots++] =
+                (struct cm_msg_slot){CmBytes_Text(slot->want->adapter),
+                                     slot->state == CM_SLOT_READY, slot->pins};
+        }
+    }
+    report->slots_included = 1;
+}
+
+static void
+report_to(struct agent *agent, struct peer *peer)
+{
+    const struct cm_scheduler *scheduler = &agent->scheduler;
+    struct cm_message message = {.type = CM_MSG_REPORT};
+    struct cm_msg_report *report = &message.report;
+    report->target = CmBytes_Text(agent->settings.target);
+    report->service = CmBytes_Text(agent->settings.service);
+    report->incarnation = agent->incarnation;
+    report->revision = agent->revision;
+    report->leaving = agent->leaving;
+    report->healthy = agent->healthy;
+    report->running = scheduler->running;
+    report->waiting = scheduler->waiting_jobs;
+    report->capacity = scheduler->capacity;
+    report->slot_count = scheduler->n_slots;
+    report->load_ms = (uint64_t)agent->load_ms;
+    report->run_ms = (uint64_t)agent->run_ms;
+    report->slots_version = agent->slots_version;
+    if (peer->slots_seen != agent->slots_version) {
+        fill_slots(agent, report);
+    }
+    CmLink_Send(&agent->link, &peer->address, &message);
+    g_free(report->slots);
+}
+
+void
+Peers_Hello(struct agent *agent, struct peer *peer,
+            const struct cm_msg_hello *hello)
+{
+    if (peer->name == NULL) {
+        peer->name = CmBytes_Dup(hello->entry);
+    }
+    peer->heard = Agent_Now(agent);
+    peer->revision = hello->revision;
+    peer->slots_seen = hello->slots_seen;
+    Peer_Age(agent, peer, hello->sent_ms);
+    if (hello->revision > agent->revision) {
+        agent->revision = hello->revision;
+        agent->count.revision.value = (int64_t)hello->revision;
+        CmLog_Event(G_LOG_LEVEL_INFO, "config", NULL,
+                    "revision %" G_GUINT64_FORMAT " is in force",
+                    agent->revision);
+    }
+    report_to(agent, peer);
+}
+
+static bool
+is_lost(const struct agent *agent, const struct peer *peer)
+{
+    return CmTime_DiffMs(Agent_Now(agent), peer->heard) > CM_PEER_LOST_MS;
+}
+
+const struct peer *
+Peers_PermitHolder(const struct agent *agent)
+{
+    const struct peer *best = NULL;
+    uint64_t best_hash = 0;
+    const struct peer *peer;
+    CmList_FOREACH (peer, &agent->peers, link) {
+        if (peer->name == NULL || is_lost(agent, peer)) {
+            continue;
+        }
+        uint64_t hash = CmHash_Text(peer->name, 0);
+        if (best == NULL || hash > best_hash) {
+            best = peer;
+            best_hash = hash;
+        }
+    }
+    return best;
+}
+
+void
+Peers_ReportAll(struct agent *agent)
+{
+    struct peer *peer;
+    CmList_FOREACH (peer, &agent->peers, link) {
+        if (!is_lost(agent, peer)) {
+            report_to(agent, peer);
+        }
+    }
+}
+
+void
+Peers_Expire(struct agent *agent)
+{
+    struct peer *peer;
+    struct peer *next;
+    CmList_FOREACH_SAFE (peer, &agent->peers, link, next) {
+        if (CmTime_DiffMs(Agent_Now(agent), peer->heard) > FORGET_MS) {
+            peer_free(peer);
+        }
+    }
+}
+
+void
+Peers_Finish(struct agent *agent)
+{
+    struct peer *peer;
+    while ((peer = LIST_FIRST(&agent->peers)) != NULL) {
+        peer_free(peer);
+    }
+}
--- /dev/null
+++ b/programs/coriandermoor/callers.c
@@ -0,0 +1,295 @@
+/// @file callers.c
+/// Requests of callers, from HTTP to exchanges.
+
+#include "callers.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "exchange.h"
+
+#define IDLE_TIMEOUT_MS 120000
+#define KEY_MAX 255
+#define SERVICES_PREFIX "/services/"
+#define STATUS_UNAVAILABLE 503
+
+/// Headers that end at this hop, or that are ours to set.
+static const char *const own_headers[] = {
+    "Connection",     "Keep-Alive", "Transfer-Encoding",    "TE",
+    "Trailer",        "Upgrade",    "Proxy-Connection",     "Host",
+    "Content-Length", "Expect",     "X-Priority",           "X-Request-Id",
+    "X-Resumable",    "X-Fence",    "X-Request-Timeout-Ms",
+};
+
+static const char *
+header(struct evhttp_request *request, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(request), name);
+}
+
+/// Refuses before anything could run.
+static void
+refuse(struct evhttp_request *request, int status, const char *type,
+       const char *message)
+{
+    evhttp_add_header(evhttp_request_get_output_headers(request), "X-Outcome",
+                      CmOutcome_Name(CM_OUTCOME_NOT_RUN));
+    CmHttp_ReplyError(request, status, type, message);
+}
+
+static bool
+is_own(const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(own_headers); i++) {
+        if (g_ascii_strcasecmp(name, own_headers[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return header lines for the target.
+static char *
+forwarded_headers(struct evhttp_request *request, const char *id)
+{
+    GString *lines = g_string_new(NULL);
+    struct evkeyval *item;
+    TAILQ_FOREACH(item, evhttp_request_get_input_headers(request), next)
+    {
+        if (!is_own(item->key)) {
+            g_string_append_printf(lines, "%s: %s\r\n", item->key,
+                                   item->value);
+        }
+    }
+    g_string_append_printf(lines, "X-Request-Id: %s\r\n", id);
+    return g_string_free(lines, FALSE);
+}
+
+/// Who asks: by credentials where there are some, else by address.
+static char *
+caller_name(struct evhttp_request *request)
+{
+    const char *credentials = header(request, "Authorization");
+    if (credentials != NULL) {
+        char digest[CM_DIGEST_SIZE];
+        CmHash_Digest(credentials, strlen(credentials), digest);
+        return g_strndup(digest, 16);
+    }
+    char *address = NULL;
+    uint16_t port;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request),
+                               &address, &port);
+    return g_strdup(address != NULL ? address : "unknown");
+}
+
+/// Reads the caller's time limit.
+/// @return false after an error answer.
+static bool
+read_timeout(struct evhttp_request *request, const struct cm_service *service,
+             int64_t *timeout_ms)
+{
+    *timeout_ms = service->timeout_ms;
+    const char *text = header(request, "X-Request-Timeout-Ms");
+    if (text == NULL) {
+        return true;
+    }
+    guint64 number;
+    if (!g_ascii_string_to_unsigned(text, 10, 1, G_MAXINT32, &number, NULL)) {
+        refuse(request, HTTP_BADREQUEST, "invalid_request_error",
+               "X-Request-Timeout-Ms must be a whole number of milliseconds");
+        return false;
+    }
+    if ((int64_t)number < *timeout_ms) {
+        *timeout_ms = (int64_t)number;
+    }
+    return true;
+}
+
+static bool
+is_safe_method(enum evhttp_cmd_type method)
+{
+    // RFC 9110, section 9.2.1.
+    return method == EVHTTP_REQ_GET || method == EVHTTP_REQ_HEAD ||
+           method == EVHTTP_REQ_OPTIONS;
+}
+
+static void
+copy_body(struct exchange *exchange, struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(input);
+    if (size > 0) {
+        g_string_append_len(exchange->body,
+                            (const char *)evbuffer_pullup(input, -1),
+                            (gssize)size);
+    }
+}
+
+/// Makes and starts the exchange of a checked request.
+static void
+start_exchange(struct entry *entry, struct evhttp_request *request,
+               const struct cm_service *service, const char *adapter,
+               const char *path)
+{
+    int64_t timeout_ms;
+    if (!read_timeout(request, service, &timeout_ms)) {
+        return;
+    }
+    const char *key = header(request, "Idempotency-Key");
+    if (key != NULL && (strlen(key) > KEY_MAX || *key == '\0')) {
+        refuse(request, HTTP_BADREQUEST, "invalid_request_error",
+               "an Idempotency-Key has from 1 to 255 characters");
+        return;
+    }
+    enum evhttp_cmd_type method = evhttp_request_get_command(request);
+    struct exchange *exchange = Exchange_New(entry, request);
+    exchange->service = service;
+    exchange->caller = caller_name(request);
+    exchange->adapter = g_strdup(adapter);
+    exchange->method = g_strdup(CmHttp_MethodName(method));
+    exchange->path = g_strdup(path);
+    exchange->headers = forwarded_headers(request, exchange->id);
+    exchange->repeatable = service->idempotent || is_safe_method(method);
+    exchange->key = exchange->repeatable ? NULL : g_strdup(key);
+    exchange->priority = service->priority;
+    exchange->deadline = CmTime_AddMs(exchange->arrived, timeout_ms);
+    copy_body(exchange, request);
+    Exchange_Start(exchange);
+}
+
+static void
+complete(struct entry *entry, struct evhttp_request *request, const char *path)
+{
+    json_t *body = CmHttp_JsonBody(request);
+    const char *model = json_string_value(json_object_get(body, "model"));
+    const struct cm_config *config = &entry->config->config;
+    uint32_t version;
+    const struct cm_adapter *adapter =
+        model != NULL ? CmConfig_Adapter(config, model, &version) : NULL;
+    const struct cm_service *service =
+        adapter != NULL ? CmConfig_ServiceOfModel(config, adapter->model)
+                        : NULL;
+    bool stream = json_is_true(json_object_get(body, "stream"));
+    if (!json_is_object(body)) {
+        refuse(request, HTTP_BADREQUEST, "invalid_request_error",
+               "the body is not a JSON object");
+    }
+    else if (model == NULL) {
+        refuse(request, HTTP_BADREQUEST, "invalid_request_error",
+               "\"model\" is missing; it has the form adapter@version");
+    }
+    else if (adapter == NULL || service == NULL) {
+        refuse(request, HTTP_NOTFOUND, "model_not_found",
+               "no service serves an adapter of this name and version");
+    }
+    else if (stream && !service->stream) {
+        refuse(request, HTTP_BADREQUEST, "invalid_request_error",
+               "the service does not stream");
+    }
+    else {
+        start_exchange(entry, request, service, model, path);
+    }
+    json_decref(body);
+}
+
+static void
+list_models(struct entry *entry, struct evhttp_request *request)
+{
+    const struct cm_config *config = &entry->config->config;
+    json_t *data = json_array();
+    char name[CM_NAME_MAX + 16];
+    for (size_t i = 0; i < config->n_adapters; i++) {
+        const struct cm_adapter *adapter = &config->adapters[i];
+        for (size_t j = 0; j < adapter->n_versions; j++) {
+            snprintf(name, sizeof(name), "%s@%u", adapter->name,
+                     adapter->versions[j]);
+            json_array_append_new(data, json_pack("{s:s,s:s,s:s}", "id", name,
+                                                  "object", "model", "parent",
+                                                  adapter->model->name));
+        }
+    }
+    CmHttp_ReplyJson(request, HTTP_OK,
+                     json_pack("{s:s,s:o}", "object", "list", "data", data));
+}
+
+/// Plain services: /services/NAME/PATH.
+static void
+serve_plain(struct entry *entry, struct evhttp_request *request,
+            const char *uri)
+{
+    const char *rest = uri + strlen(SERVICES_PREFIX);
+    size_t length = strcspn(rest, "/?");
+    char *name = g_strndup(rest, length);
+    const struct cm_service *service =
+        CmConfig_Service(&entry->config->config, name);
+    g_free(name);
+    if (service == NULL || service->kind != CM_SERVICE_PLAIN) {
+        refuse(request, HTTP_NOTFOUND, "not_found", "no such plain service");
+        return;
+    }
+    char *path = rest[length] == '/' ? g_strdup(rest + length)
+                                     : g_strconcat("/", rest + length, NULL);
+    start_exchange(entry, request, service, NULL, path);
+    g_free(path);
+}
+
+static bool
+is_post(struct evhttp_request *request)
+{
+    if (evhttp_request_get_command(request) == EVHTTP_REQ_POST) {
+        return true;
+    }
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Allow",
+                      "POST");
+    refuse(request, HTTP_BADMETHOD, "invalid_request_error", "use POST");
+    return false;
+}
+
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    struct entry *entry = context;
+    const char *path = CmHttp_Path(request);
+    if (entry->config == NULL || entry->leaving) {
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "Retry-After", "1");
+        if (entry->leaving) {
+            evhttp_add_header(evhttp_request_get_output_headers(request),
+                              "Connection", "close");
+        }
+        refuse(request, STATUS_UNAVAILABLE, "unavailable",
+               entry->leaving ? "this entry is leaving"
+                              : "no configuration is in force yet");
+    }
+    else if (strcmp(path, "/v1/completions") == 0 ||
+             strcmp(path, "/v1/chat/completions") == 0) {
+        if (is_post(request)) {
+            complete(entry, request, path);
+        }
+    }
+    else if (strcmp(path, "/v1/models") == 0) {
+        list_models(entry, request);
+    }
+    else if (g_str_has_prefix(path, SERVICES_PREFIX)) {
+        serve_plain(entry, request, evhttp_request_get_uri(request));
+    }
+    else {
+        refuse(request, HTTP_NOTFOUND, "not_found", "no such path");
+    }
+}
+
+bool
+Callers_Listen(struct entry *entry, GError **error)
+{
+    const struct cm_entry_settings *settings = &entry->settings;
+    struct cm_http_limits limits = {(size_t)settings->header_bytes,
+                                    (size_t)settings->body_bytes,
+                                    IDLE_TIMEOUT_MS};
+    entry->callers = CmHttpServer_Listen(entry->base, settings->listen,
+                                         &limits, on_request, entry, error);
+    return entry->callers != NULL;
+}
--- /dev/null
+++ b/programs/coriandermoor/commands.c
@@ -0,0 +1,427 @@
+/// @file commands.c
+/// The operators' commands.
+
+#include "commands.h"
+
+#include <event2/event.h>
+#include <getopt.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/config.h"
+#include "config/settings.h"
+#include "entry_main.h"
+#include "http/client.h"
+
+#define DEFAULT_ADMIN "127.0.0.1:8100"
+#define CALL_TIMEOUT_MS 15000
+#define STATUS_OK 200
+#define STATUS_CONFLICT 412
+#define STATUS_SERVER_ERROR 500
+
+/// Options that all commands share.
+struct options {
+    const char *admin;
+    const char *settings;
+    const char *base; ///< revision that a text was made from
+    bool json;
+    bool help;
+    const char *file; ///< the one argument, or NULL
+};
+
+/// @return whether the arguments are well formed.
+static bool
+parse_options(int argc, char **argv, struct options *options)
+{
+    static const struct option names[] = {
+        {"admin", required_argument, NULL, 'a'},
+        {"settings", required_argument, NULL, 's'},
+        {"base", required_argument, NULL, 'b'},
+        {"output", required_argument, NULL, 'o'},
+        {"help", no_argument, NULL, 'h'},
+        {0}};
+    *options = (struct options){.admin = DEFAULT_ADMIN};
+    int code;
+    while ((code = getopt_long(argc, argv, "a:s:b:o:h", names, NULL)) != -1) {
+        switch (code) {
+        case 'a':
+            options->admin = optarg;
+            break;
+        case 's':
+            options->settings = optarg;
+            break;
+        case 'b':
+            options->base = optarg;
+            break;
+        case 'o':
+            options->json = strcmp(optarg, "json") == 0;
+            if (!options->json && strcmp(optarg, "text") != 0) {
+                return false;
+            }
+            break;
+        case 'h':
+            options->help = true;
+            break;
+        default:
+            return false;
+        }
+    }
+    if (optind < argc) {
+        options->file = argv[optind++];
+    }
+    return optind == argc;
+}
+
+static int
+usage(bool asked, const char *text)
+{
+    fprintf(asked ? stdout : stderr, "usage: coriandermoor %s\n", text);
+    return asked ? EXIT_SUCCESS : CM_EXIT_USAGE;
+}
+
+int
+Command_Entry(int argc, char **argv)
+{
+    struct options options;
+    if (!parse_options(argc, argv, &options) || options.help ||
+        options.settings == NULL) {
+        return usage(options.help, "entry --settings FILE");
+    }
+    return Entry_Main(options.settings);
+}
+
+static void
+print_findings_json(const struct cm_findings *findings)
+{
+    json_t *list = json_array();
+    const struct cm_finding *finding;
+    CmTailq_FOREACH (finding, &findings->list, link) {
+        json_array_append_new(
+            list, json_pack("{s:I,s:I,s:s}", "line", (json_int_t)finding->line,
+                            "column", (json_int_t)finding->column, "message",
+                            finding->message));
+    }
+    json_t *report =
+        json_pack("{s:s,s:I,s:o}", "file", findings->input, "count",
+                  (json_int_t)findings->count, "findings", list);
+    json_dumpf(report, stdout, JSON_COMPACT);
+    printf("\n");
+    json_decref(report);
+}
+
+/// Checks a text and prints what was found.
+/// @return whether it is sound.
+static bool
+check_text(const struct options *options, const char *text, size_t size)
+{
+    struct cm_findings findings;
+    CmFindings_Init(&findings, options->file, CM_FINDINGS_MAX);
+    struct cm_config config;
+    bool sound = CmConfig_Init(&config, text, size, &findings);
+    if (options->json) {
+        print_findings_json(&findings);
+    }
+    else if (!sound) {
+        char *report = CmFindings_Report(&findings);
+        fputs(report, stderr);
+        g_free(report);
+    }
+    CmConfig_Finish(&config);
+    CmFindings_Finish(&findings);
+    return sound;
+}
+
+static char *
+load_text(const char *path, size_t *size)
+{
+    GError *error = NULL;
+    char *text = CmSettings_LoadFile(path, size, &error);
+    if (text == NULL) {
+        fprintf(stderr, "coriandermoor: %s\n", error->message);
+        g_clear_error(&error);
+    }
+    return text;
+}
+
+int
+Command_Check(int argc, char **argv)
+{
+    struct options options;
+    if (!parse_options(argc, argv, &options) || options.help ||
+        options.file == NULL) {
+        return usage(options.help, "check [--output text|json] FILE");
+    }
+    size_t size;
+    char *text = load_text(options.file, &size);
+    if (text == NULL) {
+        return CM_EXIT_USAGE;
+    }
+    bool sound = check_text(&options, text, size);
+    g_free(text);
+    return sound ? EXIT_SUCCESS : CM_EXIT_REFUSED;
+}
+
+/// One call to an entry's admin listener.
+struct admin_call {
+    struct event_base *base;
+    struct cm_http_call call;
+    enum cm_http_end end;
+    int status;
+    char tag[64];
+    GString *body;
+};
+
+static void
+on_head(void *context, int status, struct evkeyvalq *headers)
+{
+    struct admin_call *call = context;
+    call->status = status;
+    const char *tag = evhttp_find_header(headers, "ETag");
+    g_strlcpy(call->tag, tag != NULL ? tag : "", sizeof(call->tag));
+}
+
+static void
+on_data(void *context, const void *data, size_t size)
+{
+    struct admin_call *call = context;
+    g_string_append_len(call->body, data, (gssize)size);
+}
+
+static void
+on_end(void *context, enum cm_http_end end)
+{
+    struct admin_call *call = context;
+    call->end = end;
+    event_base_loopbreak(call->base);
+}
+
+static const struct cm_http_handler handler = {on_head, on_data, on_end};
+
+/// Makes one call and waits for its answer.
+/// @return whether an answer came; otherwise a message was printed.
+static bool
+call_admin(struct admin_call *call, const struct options *options,
+           enum evhttp_cmd_type method, const char *path, const char *match,
+           const char *body, size_t size)
+{
+    memset(call, 0, sizeof(*call));
+    call->base = event_base_new();
+    call->body = g_string_new(NULL);
+    struct cm_http_client client;
+    CmHttpClient_Init(&client, call->base);
+    struct cm_http_header header = {"If-Match", match};
+    struct cm_http_request request = {
+        .address = options->admin,
+        .method = method,
+        .path = path,
+        .headers = &header,
+        .n_headers = match != NULL,
+        .body = body,
+        .body_size = size,
+        .timeout_ms = CALL_TIMEOUT_MS,
+    };
+    CmHttpCall_Start(&call->call, &client, &request, &handler, call);
+    event_base_dispatch(call->base);
+    CmHttpClient_Finish(&client);
+    event_base_free(call->base);
+    if (call->end == CM_HTTP_COMPLETE) {
+        return true;
+    }
+    fprintf(stderr, "coriandermoor: no answer from %s\n", options->admin);
+    return false;
+}
+
+static void
+print_error(const struct admin_call *call)
+{
+    json_t *json = json_loads(call->body->str, 0, NULL);
+    const char *message = json_string_value(
+        json_object_get(json_object_get(json, "error"), "message"));
+    fprintf(stderr, "coriandermoor: %s\n",
+            message != NULL ? message : call->body->str);
+    json_decref(json);
+}
+
+static int
+exit_code_of(const struct admin_call *call)
+{
+    if (call->status == STATUS_OK) {
+        return EXIT_SUCCESS;
+    }
+    print_error(call);
+    if (call->status == STATUS_CONFLICT) {
+        return CM_EXIT_CONFLICT;
+    }
+    return call->status >= STATUS_SERVER_ERROR ? CM_EXIT_UNSURE
+                                               : CM_EXIT_REFUSED;
+}
+
+/// Submits a sound text.
+static int
+apply_text(const struct options *options, const char *text, size_t size)
+{
+    struct admin_call call;
+    char match[64];
+    g_strlcpy(match, options->base != NULL ? options->base : "",
+              sizeof(match));
+    if (options->base == NULL) {
+        // Based on what is in force now: a change in between is a conflict.
+        bool ok = call_admin(&call, options, EVHTTP_REQ_GET, "/admin/config",
+                             NULL, NULL, 0);
+        g_strlcpy(match, call.status == STATUS_OK ? call.tag : "\"0\"",
+                  sizeof(match));
+        g_string_free(call.body, TRUE);
+        if (!ok) {
+            return CM_EXIT_UNSURE;
+        }
+    }
+    bool ok = call_admin(&call, options, EVHTTP_REQ_PUT, "/admin/config",
+                         match, text, size);
+    int code = ok ? exit_code_of(&call) : CM_EXIT_UNSURE;
+    if (code == EXIT_SUCCESS && options->json) {
+        printf("%s\n", call.body->str);
+    }
+    else if (code == EXIT_SUCCESS) {
+        printf("accepted as revision %s\n", call.tag);
+    }
+    g_string_free(call.body, TRUE);
+    return code;
+}
+
+int
+Command_Apply(int argc, char **argv)
+{
+    struct options options;
+    if (!parse_options(argc, argv, &options) || options.help ||
+        options.file == NULL) {
+        return usage(options.help, "apply [--admin IP:PORT] [--base REVISION] "
+                                   "[--output text|json] FILE");
+    }
+    size_t size;
+    char *text = load_text(options.file, &size);
+    if (text == NULL) {
+        return CM_EXIT_USAGE;
+    }
+    struct options quiet = options;
+    quiet.json = false;
+    int code = check_text(&quiet, text, size)
+                   ? apply_text(&options, text, size)
+                   : CM_EXIT_REFUSED;
+    g_free(text);
+    return code;
+}
+
+int
+Command_Show(int argc, char **argv)
+{
+    struct options options;
+    if (!parse_options(argc, argv, &options) || options.help ||
+        options.file != NULL) {
+        return usage(options.help,
+                     "show [--admin IP:PORT] [--output text|json]");
+    }
+    struct admin_call call;
+    bool ok = call_admin(&call, &options, EVHTTP_REQ_GET, "/admin/config",
+                         NULL, NULL, 0);
+    int code = ok ? exit_code_of(&call) : CM_EXIT_UNSURE;
+    if (code == EXIT_SUCCESS && options.json) {
+        json_t *json = json_pack("{s:s,s:s}", "revision", call.tag, "text",
+                                 call.body->str);
+        json_dumpf(json, stdout, JSON_COMPACT);
+        printf("\n");
+        json_decref(json);
+    }
+    else if (code == EXIT_SUCCESS) {
+        fputs(call.body->str, stdout);
+    }
+    g_string_free(call.body, TRUE);
+    return code;
+}
+
+static int64_t
+number_of(const json_t *json, const char *name)
+{
+    return json_integer_value(json_object_get(json, name));
+}
+
+static const char *
+text_of(const json_t *json, const char *name)
+{
+    const char *text = json_string_value(json_object_get(json, name));
+    return text != NULL ? text : "";
+}
+
+static void
+print_target(const json_t *target, int64_t revision)
+{
+    const char *note =
+        json_is_true(json_object_get(target, "leaving")) ? "leaving"
+        : number_of(target, "revision") < revision       ? "older revision"
+                                                         : "";
+    printf("  %-14s %-14s %-16s %-8s %4" PRId64 "/%-4" PRId64 " %5" PRId64
+           " %5zu  %s\n",
+           text_of(target, "name"), text_of(target, "zone"),
+           text_of(target, "service"), text_of(target, "state"),
+           number_of(target, "running"), number_of(target, "capacity"),
+           number_of(target, "waiting"),
+           json_array_size(json_object_get(target, "adapters")), note);
+}
+
+static void
+print_status(const json_t *status)
+{
+    int64_t revision = number_of(status, "revision");
+    const json_t *targets = json_object_get(status, "targets");
+    size_t behind = 0;
+    for (size_t i = 0; i < json_array_size(targets); i++) {
+        behind += number_of(json_array_get(targets, i), "revision") < revision;
+    }
+    printf("entry %s in %s, revision %" PRId64 " (%zu of %zu targets behind)"
+           ", object API %s\n",
+           text_of(status, "entry"), text_of(status, "zone"), revision, behind,
+           json_array_size(targets),
+           json_is_true(json_object_get(status, "platform_reachable"))
+               ? "reachable"
+               : "OUT OF REACH");
+    printf("requests: %" PRId64 " in progress, %" PRId64 " ran, %" PRId64
+           " not run, %" PRId64 " unknown; mean stall %.1f ms\n",
+           number_of(status, "in_progress"), number_of(status, "ran"),
+           number_of(status, "not_run"), number_of(status, "unknown"),
+           json_number_value(json_object_get(status, "mean_stall_ms")));
+    printf("quarantined contents: %zu\n",
+           json_array_size(json_object_get(status, "quarantined")));
+    printf("  %-14s %-14s %-16s %-8s %9s %5s %5s\n", "target", "zone",
+           "service", "state", "running", "wait", "held");
+    for (size_t i = 0; i < json_array_size(targets); i++) {
+        print_target(json_array_get(targets, i), revision);
+    }
+}
+
+int
+Command_Status(int argc, char **argv)
+{
+    struct options options;
+    if (!parse_options(argc, argv, &options) || options.help ||
+        options.file != NULL) {
+        return usage(options.help,
+                     "status [--admin IP:PORT] [--output text|json]");
+    }
+    struct admin_call call;
+    bool ok = call_admin(&call, &options, EVHTTP_REQ_GET, "/admin/status",
+                         NULL, NULL, 0);
+    int code = ok ? exit_code_of(&call) : CM_EXIT_UNSURE;
+    if (code == EXIT_SUCCESS && options.json) {
+        printf("%s\n", call.body->str);
+    }
+    else if (code == EXIT_SUCCESS) {
+        json_t *status = json_loads(call.body->str, 0, NULL);
+        print_status(status);
+        json_decref(status);
+    }
+    g_string_free(call.body, TRUE);
+    return code;
+}
--- /dev/null
+++ b/programs/coriandermoor/entry_main.c
@@ -0,0 +1,272 @@
+/// @file entry_main.c
+/// Start, loop and stop of an entry.
+
+#include "entry_main.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "admin.h"
+#include "base/log.h"
+#include "callers.h"
+#include "entry.h"
+#include "exchange.h"
+#include "fleet.h"
+#include "links.h"
+#include "peer_state.h"
+
+#define TICK_MS 20
+#define POLL_TICKS 50
+#define PREFETCH_TICKS 50
+#define LINGER_MS 200
+#define SOCKETS_MAX 20000
+#define SLOW_MS_PER_S 1000
+
+struct timespec
+Entry_Now(const struct entry *entry)
+{
+    return CmClock_Now(entry->clock);
+}
+
+struct entry_config *
+EntryConfig_Ref(struct entry_config *config)
+{
+    config->references++;
+    return config;
+}
+
+void
+EntryConfig_Unref(struct entry_config *config)
+{
+    if (config != NULL && --config->references == 0) {
+        CmConfig_Finish(&config->config);
+        g_free(config);
+    }
+}
+
+/// Puts a configuration into force. Requests in progress keep theirs.
+static bool
+on_revision(void *context, uint64_t revision, const char *text, size_t size)
+{
+    struct entry *entry = context;
+    struct entry_config *config = g_new0(struct entry_config, 1);
+    config->references = 1;
+    config->revision = revision;
+    struct cm_findings findings;
+    CmFindings_Init(&findings, "text", CM_FINDINGS_MAX);
+    bool sound = CmConfig_Init(&config->config, text, size, &findings);
+    CmFindings_Finish(&findings);
+    if (!sound) {
+        EntryConfig_Unref(config);
+        return false;
+    }
+    EntryConfig_Unref(entry->config);
+    entry->config = config;
+    entry->count.revision.value = (int64_t)revision;
+    entry->router.stall_weight = config->config.objective.load_stall;
+    entry->router.batch_weight = config->config.objective.batch_efficiency;
+    CmPermits_SetLimits(&entry->permits,
+                        config->config.weight_store.loads_per_second,
+                        (size_t)config->config.weight_store.concurrent_loads);
+    Fleet_Sync(entry);
+    return true;
+}
+
+static void
+on_linger_over(evutil_socket_t fd, short what, void *context)
+{
+    event_base_loopbreak(((struct entry *)context)->base);
+}
+
+static void
+check_stop(struct entry *entry)
+{
+    if (!entry->leaving || entry->finishing) {
+        return;
+    }
+    int64_t since_ms = CmTime_DiffMs(Entry_Now(entry), entry->leaving_since);
+    if (!TAILQ_EMPTY(&entry->exchanges) &&
+        since_ms < entry->settings.stop_ms) {
+        return;
+    }
+    entry->finishing = true;
+    struct timeval linger = CmTime_Timeval(LINGER_MS);
+    event_base_once(entry->base, -1, EV_TIMEOUT, on_linger_over, entry,
+                    &linger);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *context)
+{
+    struct entry *entry = context;
+    CmMembers_Tick(&entry->members, Entry_Now(entry));
+    Links_Tick(entry);
+    if (entry->ticks % POLL_TICKS == 0) {
+        Fleet_Poll(entry);
+        PeerState_Tick(entry);
+    }
+    if (entry->ticks % PREFETCH_TICKS == PREFETCH_TICKS / 2) {
+        Fleet_Prefetch(entry);
+    }
+    entry->ticks++;
+    check_stop(entry);
+}
+
+/// First signal: not ready, nothing new, finish what is in progress. Second
+/// signal: end at once.
+static void
+on_stop_signal(evutil_socket_t fd, short what, void *context)
+{
+    struct entry *entry = context;
+    if (entry->leaving) {
+        event_base_loopbreak(entry->base);
+        return;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "entry", NULL,
+                "leaving: %" PRId64 " requests are in progress",
+                entry->count.in_progress.value);
+    entry->leaving = true;
+    entry->leaving_since = Entry_Now(entry);
+}
+
+static void
+init_events(struct entry *entry)
+{
+    entry->tick = event_new(entry->base, -1, EV_PERSIST, on_tick, entry);
+    entry->term = evsignal_new(entry->base, SIGTERM, on_stop_signal, entry);
+    entry->interrupt =
+        evsignal_new(entry->base, SIGINT, on_stop_signal, entry);
+    struct timeval tick = CmTime_Timeval(TICK_MS);
+    event_add(entry->tick, &tick);
+    event_add(entry->term, NULL);
+    event_add(entry->interrupt, NULL);
+}
+
+static void
+entry_init(struct entry *entry, const struct cm_policy_ops *policy)
+{
+    const struct cm_entry_settings *settings = &entry->settings;
+    entry->clock = CmClock_System();
+    entry->base = event_base_new();
+    entry->random = g_rand_new();
+    entry->zmq = zmq_ctx_new();
+    zmq_ctx_set(entry->zmq, ZMQ_MAX_SOCKETS, SOCKETS_MAX);
+    snprintf(entry->identity, sizeof(entry->identity), "%.24s-%" PRIx64,
+             settings->common.name, (uint64_t)CmClock_WallMs(entry->clock));
+    Admin_InitCounters(entry);
+    CmHttpClient_Init(&entry->client, entry->base);
+    CmHttpObjects_Init(&entry->objects, &entry->client, settings->platform);
+    CmRouter_Init(&entry->router, policy, entry->random);
+    CmPermits_Init(&entry->permits, Entry_Now(entry));
+    CmQuarantine_Init(&entry->quarantine);
+    CmAdmission_Init(&entry->admission, (size_t)settings->waiting,
+                     (size_t)settings->caller_share);
+    CmOnce_Init(&entry->once, &entry->objects.base, entry->base, entry->clock,
+                settings->once_window_s * SLOW_MS_PER_S);
+    entry->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    entry->streams = g_hash_table_new(g_str_hash, g_str_equal);
+    TAILQ_INIT(&entry->exchanges);
+    Fleet_Init(entry);
+    PeerState_Init(entry);
+    CmRevisions_Init(&entry->revisions, &entry->objects.base, entry->base,
+                     on_revision, entry);
+    init_events(entry);
+}
+
+static void
+entry_finish(struct entry *entry)
+{
+    struct exchange *exchange;
+    while ((exchange = TAILQ_FIRST(&entry->exchanges)) != NULL) {
+        Exchange_Refuse(exchange, 503, "unavailable", "this entry has stopped",
+                        CM_OUTCOME_UNKNOWN, 1);
+    }
+    if (entry->callers != NULL) {
+        evhttp_free(entry->callers);
+    }
+    if (entry->admin != NULL) {
+        evhttp_free(entry->admin);
+    }
+    PeerState_Finish(entry);
+    CmRevisions_Finish(&entry->revisions);
+    CmOnce_Finish(&entry->once);
+    Fleet_Finish(entry);
+    CmRouter_Finish(&entry->router);
+    CmPermits_Finish(&entry->permits);
+    CmQuarantine_Finish(&entry->quarantine);
+    CmAdmission_Finish(&entry->admission);
+    g_hash_table_destroy(entry->budgets);
+    g_hash_table_destroy(entry->streams);
+    CmHttpClient_Finish(&entry->client);
+    EntryConfig_Unref(entry->config);
+    event_free(entry->tick);
+    event_free(entry->term);
+    event_free(entry->interrupt);
+    zmq_ctx_term(entry->zmq);
+    g_rand_free(entry->random);
+    event_base_free(entry->base);
+}
+
+static int
+run(struct entry *entry)
+{
+    const struct cm_policy_ops *policy = CmPolicy_Find(entry->settings.policy);
+    if (policy == NULL) {
+        fprintf(stderr, "coriandermoor: unknown policy \"%s\"\n",
+                entry->settings.policy);
+        return EXIT_FAILURE;
+    }
+    entry_init(entry, policy);
+    GError *error = NULL;
+    int code = EXIT_SUCCESS;
+    if (Callers_Listen(entry, &error) && Admin_Listen(entry, &error)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "entry", NULL,
+                    "serves callers at %s and operators at %s",
+                    entry->settings.listen, entry->settings.common.admin);
+        event_base_dispatch(entry->base);
+    }
+    else {
+        fprintf(stderr, "coriandermoor: %s\n", error->message);
+        g_clear_error(&error);
+        code = EXIT_FAILURE;
+    }
+    entry_finish(entry);
+    return code;
+}
+
+int
+Entry_Main(const char *path)
+{
+    signal(SIGPIPE, SIG_IGN);
+    size_t size;
+    GError *error = NULL;
+    char *text = CmSettings_LoadFile(path, &size, &error);
+    if (text == NULL) {
+        fprintf(stderr, "coriandermoor: %s\n", error->message);
+        g_clear_error(&error);
+        return EXIT_FAILURE;
+    }
+    struct entry entry = {0};
+    struct cm_findings findings;
+    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
+    int code = EXIT_FAILURE;
+    if (CmSettings_ReadEntry(&entry.settings, text, size, &findings)) {
+        const struct cm_settings *common = &entry.settings.common;
+        CmLog_Init(common->log_format, common->log_level, common->name);
+        code = run(&entry);
+    }
+    else {
+        char *report = CmFindings_Report(&findings);
+        fputs(report, stderr);
+        g_free(report);
+    }
+    CmSettings_FinishEntry(&entry.settings);
+    CmFindings_Finish(&findings);
+    g_free(text);
+    return code;
+}
--- /dev/null
+++ b/programs/coriandermoor/main.c
@@ -0,0 +1,58 @@
+/// @file main.c
+/// coriandermoor: the entry and the operators' commands.
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "commands.h"
+#include "entry_main.h"
+
+static const struct {
+    const char *name;
+    int (*run)(int argc, char **argv);
+    const char *help;
+} commands[] = {
+    {"entry", Command_Entry, "serve callers and operators"},
+    {"check", Command_Check, "check a text and print its findings"},
+    {"apply", Command_Apply, "submit a text"},
+    {"show", Command_Show, "print the text in force"},
+    {"status", Command_Status, "print the state of the fleet"},
+};
+
+#define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
+
+static int
+usage(FILE *out, int code)
+{
+    fprintf(out, "usage: coriandermoor COMMAND [OPTION...]\n\ncommands:\n");
+    for (size_t i = 0; i < N_COMMANDS; i++) {
+        fprintf(out, "  %-8s %s\n", commands[i].name, commands[i].help);
+    }
+    fprintf(out, "\n`coriandermoor COMMAND --help` tells its options.\n"
+                 "Exit codes: 0 done, 1 findings or refused, 2 wrong use, "
+                 "3 conflict, 4 out of reach or unsure.\n");
+    return code;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc < 2) {
+        return usage(stderr, CM_EXIT_USAGE);
+    }
+    if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0) {
+        return usage(stdout, EXIT_SUCCESS);
+    }
+    if (strcmp(argv[1], "--version") == 0) {
+        printf("coriandermoor %s\n", CM_VERSION);
+        return EXIT_SUCCESS;
+    }
+    for (size_t i = 0; i < N_COMMANDS; i++) {
+        if (strcmp(argv[1], commands[i].name) == 0) {
+            return commands[i].run(argc - 1, argv + 1);
+        }
+    }
+    fprintf(stderr, "coriandermoor: unknown command \"%s\"\n", argv[1]);
+    return usage(stderr, CM_EXIT_USAGE);
+}
--- /dev/null
+++ b/programs/coriandermoor/replies.h
@@ -0,0 +1,39 @@
+/// @file replies.h
+/// Writing answers to callers.
+
+#ifndef REPLIES_H
+#define REPLIES_H
+
+#include "exchange.h"
+
+/// @return whether the header lines are those of an event stream.
+bool
+Reply_IsStream(const char *headers);
+
+/// Sends an error of our own, in the shape of the OpenAI API.
+void
+Reply_Error(struct exchange *exchange, int status, const char *type,
+            const char *message, enum cm_outcome outcome, int retry_after_s);
+
+/// Sends the whole answer.
+void
+Reply_Whole(struct exchange *exchange);
+
+/// Begins a streamed reply.
+void
+Reply_Start(struct exchange *exchange);
+
+/// Sends the bytes not yet delivered; credits the agent once they are out.
+void
+Reply_Stream(struct exchange *exchange, struct attempt *attempt);
+
+/// Ends a streamed reply.
+void
+Reply_End(struct exchange *exchange);
+
+/// Ends a streamed reply that cannot be continued: an error event, then the
+/// connection closes without a proper end, so that nobody takes it for whole.
+void
+Reply_BreakOff(struct exchange *exchange, const char *message);
+
+#endif
--- /dev/null
+++ b/testing/standin-engine/adapters.c
@@ -0,0 +1,170 @@
+/// @file adapters.c
+/// Adapter slots: loads fetch weights from the store, then take a slot.
+
+#include "adapters.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/server.h"
+
+#define WEIGHTS_TIMEOUT_MS 60000
+
+struct engine_load {
+    LIST_ENTRY(engine_load) link;
+    struct engine *engine;
+    struct evhttp_request *request;
+    char *name;
+    struct cm_http_call call;
+};
+
+void
+Adapters_Free(gpointer data)
+{
+    struct engine_adapter *adapter = data;
+    g_free(adapter->name);
+    g_free(adapter);
+}
+
+struct engine_adapter *
+Adapters_Find(const struct engine *engine, const char *name)
+{
+    return g_hash_table_lookup(engine->adapters, name);
+}
+
+/// Checks the order's fence and adapter name.
+/// @return the name, borrowed from `*body`, or NULL after an error answer.
+static const char *
+check_order(struct engine *engine, struct evhttp_request *request,
+            json_t **body)
+{
+    *body = CmHttp_JsonBody(request);
+    const char *name = json_string_value(json_object_get(*body, "lora_name"));
+    const char *text = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "X-Fence");
+    uint64_t fence = text != NULL ? strtoull(text, NULL, 10) : 0;
+    if (engine->fleet->keep_fence && fence < engine->fence) {
+        CmHttp_ReplyError(request, 409, "stale_fence",
+                          "the order has an old fencing number");
+        return NULL;
+    }
+    if (fence > engine->fence) {
+        engine->fence = fence;
+    }
+    if (name == NULL) {
+        CmHttp_ReplyError(request, 400, "invalid_request_error",
+                          "lora_name is missing");
+    }
+    return name;
+}
+
+static void
+load_free(struct engine_load *load)
+{
+    CmHttpCall_Cancel(&load->call);
+    LIST_REMOVE(load, link);
+    g_free(load->name);
+    g_free(load);
+}
+
+void
+Adapters_DropLoads(struct engine *engine)
+{
+    struct engine_load *load;
+    while ((load = LIST_FIRST(&engine->loads)) != NULL) {
+        if (load->request != NULL) {
+            CmHttp_UnwatchClose(load->request);
+        }
+        load_free(load);
+    }
+}
+
+static void
+on_client_gone(struct evhttp_connection *connection, void *context)
+{
+    struct engine_load *load = context;
+    CmHttp_Abandon(load->request);
+    load->request = NULL;
+}
+
+static void
+place(struct engine *engine, const char *name)
+{
+    struct engine_adapter *adapter = g_new0(struct engine_adapter, 1);
+    adapter->name = g_strdup(name);
+    g_hash_table_insert(engine->adapters, adapter->name, adapter);
+}
+
+static void
+on_weights(void *context, enum cm_http_end end)
+{
+    struct engine_load *load = context;
+    struct engine *engine = load->engine;
+    struct evhttp_request *request = load->request;
+    double failure = engine->faults.load_failure_rate;
+    bool failed = end != CM_HTTP_COMPLETE ||
+                  g_rand_double(engine->fleet->random) < failure;
+    bool full =
+        g_hash_table_size(engine->adapters) >= (guint)engine->fleet->slots;
+    if (!failed && !full && Adapters_Find(engine, load->name) == NULL) {
+        place(engine, load->name);
+    }
+    load_free(load);
+    if (request == NULL) {
+        return;
+    }
+    CmHttp_UnwatchClose(request);
+    if (failed) {
+        CmHttp_ReplyError(request, 500, "load_failed",
+                          "the adapter could not be loaded");
+    }
+    else if (full) {
+        CmHttp_ReplyError(request, 409, "no_slot", "all slots are taken");
+    }
+    else {
+        CmHttp_ReplyText(request, HTTP_OK, "text/plain", "Success");
+    }
+}
+
+void
+Adapters_Load(struct engine *engine, struct evhttp_request *request)
+{
+    json_t *body;
+    const char *name = check_order(engine, request, &body);
+    if (name == NULL) {
+        json_decref(body);
+        return;
+    }
+    static const struct cm_http_handler handler = {.end = on_weights};
+    struct engine_load *load = g_new0(struct engine_load, 1);
+    load->engine = engine;
+    load->request = request;
+    load->name = g_strdup(name);
+    LIST_INSERT_HEAD(&engine->loads, load, link);
+    CmHttp_WatchClose(request, on_client_gone, load);
+    char *path = g_strconcat("/weights/", name, NULL);
+    struct cm_http_request fetch = {.address = engine->fleet->weights,
+                                    .method = EVHTTP_REQ_GET,
+                                    .path = path,
+                                    .timeout_ms = WEIGHTS_TIMEOUT_MS};
+    CmHttpCall_Start(&load->call, &engine->fleet->client, &fetch, &handler,
+                     load);
+    g_free(path);
+    json_decref(body);
+}
+
+void
+Adapters_Unload(struct engine *engine, struct evhttp_request *request)
+{
+    json_t *body;
+    const char *name = check_order(engine, request, &body);
+    if (name != NULL) {
+        struct engine_adapter *adapter = Adapters_Find(engine, name);
+        if (adapter != NULL && adapter->users > 0) {
+            engine->evicted_in_use++;
+        }
+        g_hash_table_remove(engine->adapters, name);
+        CmHttp_ReplyText(request, HTTP_OK, "text/plain", "Success");
+    }
+    json_decref(body);
+}
--- /dev/null
+++ b/testing/standin-engine/engine.c
@@ -0,0 +1,526 @@
+/// @file engine.c
+/// Continuous batching, crashes, and the HTTP interface of one engine, after
+/// the OpenAI API with vLLM's calls for adapters.
+
+#include "engine.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapters.h"
+#include "base/clock.h"
+#include "http/server.h"
+#include "run.h"
+
+#define RESTART_MS 1000
+#define STREAMS_KEPT_MAX 256
+
+static void
+on_run_reader_gone(struct evhttp_connection *connection, void *context);
+
+static int
+count_runs(const struct engine *engine, bool running)
+{
+    int count = 0;
+    const struct engine_run *run;
+    if (running) {
+        CmTailq_FOREACH (run, &engine->running, link) {
+            count++;
+        }
+    }
+    else {
+        CmTailq_FOREACH (run, &engine->waiting, link) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static void
+record_start(const struct engine_run *run)
+{
+    const char *at = strrchr(run->adapter, '@');
+    char *name = at != NULL
+                     ? g_strndup(run->adapter, (gsize)(at - run->adapter))
+                     : g_strdup(run->adapter);
+    const char *version = at != NULL ? at + 1 : "";
+    const char *key = NULL;
+    if (run->request != NULL) {
+        key = evhttp_find_header(
+            evhttp_request_get_input_headers(run->request), "Idempotency-Key");
+    }
+    Standin_Record(&run->engine->fleet->journal,
+                   json_pack("{s:s,s:s,s:s,s:s,s:s,s:s}", "id", run->id, "key",
+                             key != NULL ? key : "", "service", "engines",
+                             "adapter", name, "version", version, "target",
+                             run->engine->name));
+    g_free(name);
+}
+
+static void
+schedule_step(struct engine *engine)
+{
+    if (TAILQ_EMPTY(&engine->running) ||
+        event_pending(engine->step, EV_TIMEOUT, NULL)) {
+        return;
+    }
+    const struct fleet *fleet = engine->fleet;
+    double ms = fleet->step_ms +
+                fleet->step_request_ms * count_runs(engine, true) +
+                engine->faults.token_delay_ms;
+    struct timeval tv = {.tv_sec = (long)(ms / CM_MS_PER_S)};
+    tv.tv_usec = (long)((ms - (double)tv.tv_sec * CM_MS_PER_S) * CM_MS_PER_S);
+    event_add(engine->step, &tv);
+}
+
+/// Moves waiting runs into the batch while it has room.
+static void
+admit(struct engine *engine)
+{
+    int room = engine->fleet->capacity - count_runs(engine, true);
+    struct engine_run *run;
+    while (room > 0 && (run = TAILQ_FIRST(&engine->waiting)) != NULL) {
+        TAILQ_REMOVE(&engine->waiting, run, link);
+        TAILQ_INSERT_TAIL(&engine->running, run, link);
+        if (!run->finished) {
+            record_start(run);
+        }
+        room--;
+    }
+    schedule_step(engine);
+}
+
+static void
+release_adapter(struct engine_run *run)
+{
+    struct engine_adapter *adapter = Adapters_Find(run->engine, run->adapter);
+    if (adapter != NULL && adapter->users > 0) {
+        adapter->users--;
+    }
+}
+
+static void
+forget(struct engine_run *run)
+{
+    struct engine *engine = run->engine;
+    if (run->request != NULL) {
+        CmHttp_UnwatchClose(run->request);
+    }
+    if (g_hash_table_lookup(engine->streams, run->id) == run) {
+        g_hash_table_remove(engine->streams, run->id);
+    }
+    Run_Free(run);
+}
+
+/// Takes a run out of the batch; a resumable one stays readable for a while.
+static void
+retire(struct engine_run *run)
+{
+    struct engine *engine = run->engine;
+    TAILQ_REMOVE(&engine->running, run, link);
+    release_adapter(run);
+    if (!run->resumable) {
+        forget(run);
+        return;
+    }
+    TAILQ_INSERT_TAIL(&engine->retired, run, link);
+    if (++engine->n_retired > STREAMS_KEPT_MAX) {
+        struct engine_run *oldest = TAILQ_FIRST(&engine->retired);
+        TAILQ_REMOVE(&engine->retired, oldest, link);
+        engine->n_retired--;
+        forget(oldest);
+    }
+}
+
+static void
+on_step(evutil_socket_t fd, short what, void *context)
+{
+    struct engine *engine = context;
+    engine->steps++;
+    engine->batch_sum += count_runs(engine, true);
+    struct engine_run *run;
+    struct engine_run *next;
+    CmTailq_FOREACH_SAFE (run, &engine->running, link, next) {
+        Run_Step(run);
+        Run_Flush(run);
+        if (run->finished) {
+            retire(run);
+        }
+    }
+    admit(engine);
+}
+
+static void
+on_run_reader_gone(struct evhttp_connection *connection, void *context)
+{
+    struct engine_run *run = context;
+    struct engine *engine = run->engine;
+    CmHttp_Abandon(run->request);
+    run->request = NULL;
+    if (run->resumable || run->finished) {
+        return;
+    }
+    // The reader of a run that cannot be resumed cancels it by leaving.
+    struct engine_run *other;
+    CmTailq_FOREACH (other, &engine->waiting, link) {
+        if (other == run) {
+            TAILQ_REMOVE(&engine->waiting, run, link);
+            release_adapter(run);
+            forget(run);
+            return;
+        }
+    }
+    run->finished = true;
+}
+
+static void
+insert_waiting(struct engine *engine, struct engine_run *run)
+{
+    struct engine_run *other;
+    CmTailq_FOREACH (other, &engine->waiting, link) {
+        if (other->priority > run->priority) {
+            TAILQ_INSERT_BEFORE(other, run, link);
+            return;
+        }
+    }
+    TAILQ_INSERT_TAIL(&engine->waiting, run, link);
+}
+
+/// Drops everything, as a crash does; comes back cold after RESTART_MS.
+static void
+crash(struct engine *engine)
+{
+    engine->down = true;
+    Adapters_DropLoads(engine);
+    struct engine_run *run;
+    TAILQ_CONCAT(&engine->running, &engine->waiting, link);
+    TAILQ_CONCAT(&engine->running, &engine->retired, link);
+    engine->n_retired = 0;
+    while ((run = TAILQ_FIRST(&engine->running)) != NULL) {
+        TAILQ_REMOVE(&engine->running, run, link);
+        if (run->request != NULL) {
+            struct evhttp_connection *connection =
+                evhttp_request_get_connection(run->request);
+            evhttp_connection_set_closecb(connection, NULL, NULL);
+            evhttp_connection_free(connection);
+        }
+        Run_Free(run);
+    }
+    g_hash_table_remove_all(engine->streams);
+    g_hash_table_remove_all(engine->adapters);
+    memset(engine->prefixes, 0, sizeof(engine->prefixes));
+    struct timeval tv = CmTime_Timeval(RESTART_MS);
+    event_add(engine->restarted, &tv);
+}
+
+static void
+on_restarted(evutil_socket_t fd, short what, void *context)
+{
+    struct engine *engine = context;
+    engine->down = false;
+    engine->fence = 0;
+}
+
+static bool
+body_holds(struct evhttp_request *request, const char *text)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(input);
+    return size > 0 && g_strstr_len((const char *)evbuffer_pullup(input, -1),
+                                    (gssize)size, text) != NULL;
+}
+
+static void
+on_crash_timer(evutil_socket_t fd, short what, void *context)
+{
+    crash(context);
+}
+
+static void
+complete(struct engine *engine, struct evhttp_request *request, bool chat)
+{
+    json_t *body = CmHttp_JsonBody(request);
+    struct engine_run *run =
+        body != NULL ? Run_New(engine, request, body, chat) : NULL;
+    json_decref(body);
+    if (run == NULL) {
+        CmHttp_ReplyError(request, 400, "invalid_request_error",
+                          "model and prompt are needed");
+        return;
+    }
+    struct engine_adapter *adapter = Adapters_Find(engine, run->adapter);
+    if (adapter == NULL) {
+        Run_Free(run);
+        CmHttp_ReplyError(request, 404, "model_not_found",
+                          "the adapter is in no slot");
+        return;
+    }
+    adapter->users++;
+    CmHttp_WatchClose(request, on_run_reader_gone, run);
+    if (run->stream) {
+        struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+        evhttp_add_header(headers, "Content-Type", "text/event-stream");
+        evhttp_add_header(headers, "X-Adapter", run->adapter);
+        evhttp_send_reply_start(request, HTTP_OK, NULL);
+    }
+    g_hash_table_replace(engine->streams, run->id, run);
+    insert_waiting(engine, run);
+    admit(engine);
+    if (engine->faults.crash_on != NULL &&
+        body_holds(request, engine->faults.crash_on)) {
+        struct timeval soon = CmTime_Timeval(5);
+        event_base_once(engine->fleet->base, -1, EV_TIMEOUT, on_crash_timer,
+                        engine, &soon);
+    }
+}
+
+static void
+resume(struct engine *engine, struct evhttp_request *request, const char *id)
+{
+    struct engine_run *run = g_hash_table_lookup(engine->streams, id);
+    if (run == NULL) {
+        CmHttp_ReplyError(request, 404, "not_found", "no such stream");
+        return;
+    }
+    char *offset = CmHttp_Query(request, "offset");
+    Run_Attach(run, request, offset != NULL ? strtoull(offset, NULL, 10) : 0);
+    g_free(offset);
+    CmHttp_WatchClose(request, on_run_reader_gone, run);
+    if (run->stream) {
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "X-Adapter", run->adapter);
+        evhttp_send_reply_start(request, HTTP_OK, NULL);
+    }
+    Run_Flush(run);
+}
+
+static void
+cancel(struct engine *engine, struct evhttp_request *request)
+{
+    json_t *body = CmHttp_JsonBody(request);
+    const char *id = json_string_value(json_object_get(body, "id"));
+    struct engine_run *run =
+        id != NULL ? g_hash_table_lookup(engine->streams, id) : NULL;
+    if (run != NULL) {
+        run->finished = true;
+    }
+    json_decref(body);
+    CmHttp_ReplyJson(request, HTTP_OK,
+                     json_pack("{s:b}", "cancelled", run != NULL));
+}
+
+static void
+list_models(struct engine *engine, struct evhttp_request *request)
+{
+    json_t *data = json_array();
+    GHashTableIter iter;
+    gpointer name;
+    g_hash_table_iter_init(&iter, engine->adapters);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        json_array_append_new(
+            data, json_pack("{s:s,s:s}", "id", name, "object", "model"));
+    }
+    CmHttp_ReplyJson(request, HTTP_OK, json_pack("{s:o}", "data", data));
+}
+
+static void
+reply_load(struct engine *engine, struct evhttp_request *request)
+{
+    const struct engine_load_report *report = &engine->report;
+    CmHttp_ReplyJson(request, HTTP_OK,
+                     json_pack("{s:i,s:i,s:i,s:i,s:i,s:s}", "running",
+                               report->running, "waiting", report->waiting,
+                               "loading", report->loading, "capacity",
+                               engine->fleet->capacity, "slots",
+                               engine->fleet->slots, "role", engine->role));
+}
+
+static void
+reply_events(struct engine *engine, struct evhttp_request *request)
+{
+    GString *lines = g_string_new(NULL);
+    char *line;
+    while ((line = g_queue_pop_head(&engine->events)) != NULL) {
+        g_string_append_printf(lines, "%s\n", line);
+        g_free(line);
+    }
+    CmHttp_ReplyText(request, HTTP_OK, "application/x-ndjson", lines->str);
+    g_string_free(lines, TRUE);
+}
+
+static void
+set_role(struct engine *engine, struct evhttp_request *request)
+{
+    json_t *body = CmHttp_JsonBody(request);
+    const char *role = json_string_value(json_object_get(body, "role"));
+    if (role != NULL) {
+        g_free(engine->role);
+        engine->role = g_strdup(role);
+    }
+    json_decref(body);
+    CmHttp_ReplyJson(request, HTTP_OK,
+                     json_pack("{s:s}", "role", engine->role));
+}
+
+/// KV cache travels as the hash of its prefix, all that this engine keeps.
+static void
+transfer_kv(struct engine *engine, struct evhttp_request *request,
+            bool importing)
+{
+    json_t *body = CmHttp_JsonBody(request);
+    if (importing && json_is_string(json_object_get(body, "prefix"))) {
+        const char *text = json_string_value(json_object_get(body, "prefix"));
+        engine->prefixes[engine->next_prefix] = strtoull(text, NULL, 16);
+        engine->next_prefix = (engine->next_prefix + 1) % ENGINE_PREFIX_MAX;
+    }
+    json_decref(body);
+    json_t *prefixes = json_array();
+    for (size_t i = 0; i < ENGINE_PREFIX_MAX && !importing; i++) {
+        if (engine->prefixes[i] != 0) {
+            char text[32];
+            g_snprintf(text, sizeof(text), "%016" PRIx64, engine->prefixes[i]);
+            json_array_append_new(prefixes, json_string(text));
+        }
+    }
+    CmHttp_ReplyJson(request, HTTP_OK,
+                     json_pack("{s:o}", "prefixes", prefixes));
+}
+
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    struct engine *engine = context;
+    if (engine->down) {
+        evhttp_connection_free(evhttp_request_get_connection(request));
+        return;
+    }
+    const char *path = CmHttp_Path(request);
+    if (strcmp(path, "/v1/completions") == 0) {
+        complete(engine, request, false);
+    }
+    else if (strcmp(path, "/v1/chat/completions") == 0) {
+        complete(engine, request, true);
+    }
+    else if (strcmp(path, "/v1/load_lora_adapter") == 0) {
+        Adapters_Load(engine, request);
+    }
+    else if (strcmp(path, "/v1/unload_lora_adapter") == 0) {
+        Adapters_Unload(engine, request);
+    }
+    else if (strcmp(path, "/v1/models") == 0) {
+        list_models(engine, request);
+    }
+    else if (strcmp(path, "/load") == 0) {
+        reply_load(engine, request);
+    }
+    else if (strcmp(path, "/events") == 0) {
+        reply_events(engine, request);
+    }
+    else if (strcmp(path, "/v1/cancel") == 0) {
+        cancel(engine, request);
+    }
+    else if (strcmp(path, "/v1/role") == 0) {
+        set_role(engine, request);
+    }
+    else if (strcmp(path, "/v1/kv/export") == 0) {
+        transfer_kv(engine, request, false);
+    }
+    else if (strcmp(path, "/v1/kv/import") == 0) {
+        transfer_kv(engine, request, true);
+    }
+    else if (g_str_has_prefix(path, "/v1/streams/")) {
+        resume(engine, request, path + strlen("/v1/streams/"));
+    }
+    else if (strcmp(path, "/health") == 0) {
+        CmHttp_ReplyText(request, HTTP_OK, "text/plain", "ok");
+    }
+    else {
+        CmHttp_ReplyError(request, 404, "not_found", "no such path");
+    }
+}
+
+static void
+on_report_timer(evutil_socket_t fd, short what, void *context)
+{
+    struct engine *engine = context;
+    engine->report.running = count_runs(engine, true);
+    engine->report.waiting = count_runs(engine, false);
+    engine->report.loading = LIST_EMPTY(&engine->loads) ? 0 : 1;
+}
+
+void
+Engine_Init(struct engine *engine, struct fleet *fleet, const char *name,
+            int port)
+{
+    memset(engine, 0, sizeof(*engine));
+    engine->fleet = fleet;
+    g_strlcpy(engine->name, name, sizeof(engine->name));
+    TAILQ_INIT(&engine->running);
+    TAILQ_INIT(&engine->waiting);
+    TAILQ_INIT(&engine->retired);
+    LIST_INIT(&engine->loads);
+    engine->adapters =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, Adapters_Free);
+    engine->streams = g_hash_table_new(g_str_hash, g_str_equal);
+    g_queue_init(&engine->events);
+    engine->role = g_strdup("mixed");
+    engine->step = evtimer_new(fleet->base, on_step, engine);
+    engine->restarted = evtimer_new(fleet->base, on_restarted, engine);
+    engine->report_timer =
+        event_new(fleet->base, -1, EV_PERSIST, on_report_timer, engine);
+    struct timeval lag = CmTime_Timeval(fleet->report_lag_ms);
+    event_add(engine->report_timer, &lag);
+    engine->server = Standin_Listen(fleet->base, port, on_request, engine);
+}
+
+void
+Engine_Finish(struct engine *engine)
+{
+    crash(engine);
+    evhttp_free(engine->server);
+    event_free(engine->step);
+    event_free(engine->restarted);
+    event_free(engine->report_timer);
+    g_hash_table_destroy(engine->adapters);
+    g_hash_table_destroy(engine->streams);
+    g_queue_clear_full(&engine->events, g_free);
+    g_free(engine->role);
+    g_free(engine->faults.crash_on);
+}
+
+void
+Engine_SetFaults(struct engine *engine, const json_t *body)
+{
+    struct engine_faults *faults = &engine->faults;
+    const json_t *crash_on = json_object_get(body, "crash_on");
+    if (crash_on != NULL) {
+        g_free(faults->crash_on);
+        const char *text = json_string_value(crash_on);
+        faults->crash_on =
+            text != NULL && *text != '\0' ? g_strdup(text) : NULL;
+    }
+    faults->load_failure_rate =
+        Standin_Number(body, "load_failure_rate", faults->load_failure_rate);
+    faults->token_delay_ms =
+        (int)Standin_Number(body, "token_delay_ms", faults->token_delay_ms);
+    if (json_is_true(json_object_get(body, "silent"))) {
+        struct engine_run *run;
+        CmTailq_FOREACH (run, &engine->running, link) {
+            run->silent = true;
+        }
+    }
+    if (json_is_true(json_object_get(body, "restart"))) {
+        crash(engine);
+    }
+}
+
+json_t *
+Engine_Stats(const struct engine *engine)
+{
+    return json_pack("{s:s,s:I,s:f,s:I,s:i}", "target", engine->name, "steps",
+                     (json_int_t)engine->steps, "batch_sum", engine->batch_sum,
+                     "evicted_in_use", (json_int_t)engine->evicted_in_use,
+                     "adapters", (int)g_hash_table_size(engine->adapters));
+}
--- /dev/null
+++ b/testing/standin-engine/main.c
@@ -0,0 +1,177 @@
+/// @file main.c
+/// Stand-in for the targets: a number of model engines and plain targets in
+/// one process, each on its own port, and a control port for all.
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "engine.h"
+#include "http/server.h"
+#include "plain.h"
+
+struct standin {
+    struct fleet fleet;
+    struct engine *engines;
+    int n_engines;
+    struct plain *plains;
+    int n_plains;
+};
+
+static void
+set_faults(struct standin *standin, const json_t *body)
+{
+    const char *target = json_string_value(json_object_get(body, "target"));
+    for (int i = 0; i < standin->n_engines; i++) {
+        if (target == NULL || strcmp(target, standin->engines[i].name) == 0) {
+            Engine_SetFaults(&standin->engines[i], body);
+        }
+    }
+    for (int i = 0; i < standin->n_plains; i++) {
+        if (target == NULL || strcmp(target, standin->plains[i].name) == 0) {
+            Plain_SetFaults(&standin->plains[i], body);
+        }
+    }
+}
+
+static void
+reply_stats(struct standin *standin, struct evhttp_request *request)
+{
+    json_t *targets = json_array();
+    for (int i = 0; i < standin->n_engines; i++) {
+        json_array_append_new(targets, Engine_Stats(&standin->engines[i]));
+    }
+    CmHttp_ReplyJson(request, HTTP_OK, json_pack("{s:o}", "targets", targets));
+}
+
+static void
+reply_faults(struct standin *standin, struct evhttp_request *request)
+{
+    json_t *targets = json_array();
+    for (int i = 0; i < standin->n_engines; i++) {
+        const struct engine *engine = &standin->engines[i];
+        json_array_append_new(
+            targets,
+            json_pack("{s:s,s:s,s:f,s:i}", "target", engine->name, "crash_on",
+                      engine->faults.crash_on != NULL ? engine->faults.crash_on
+                                                      : "",
+                      "load_failure_rate", engine->faults.load_failure_rate,
+                      "token_delay_ms", engine->faults.token_delay_ms));
+    }
+    CmHttp_ReplyJson(request, HTTP_OK, json_pack("{s:o}", "targets", targets));
+}
+
+static void
+on_control(struct evhttp_request *request, void *context)
+{
+    struct standin *standin = context;
+    const char *path = CmHttp_Path(request);
+    if (strcmp(path, "/executions") == 0) {
+        Standin_ReplyJournal(&standin->fleet.journal, request);
+    }
+    else if (strcmp(path, "/stats") == 0) {
+        reply_stats(standin, request);
+    }
+    else if (strcmp(path, "/faults") == 0) {
+        json_t *body = CmHttp_JsonBody(request);
+        if (json_is_object(body)) {
+            set_faults(standin, body);
+        }
+        json_decref(body);
+        reply_faults(standin, request);
+    }
+    else {
+        CmHttp_ReplyError(request, 404, "not_found", "no such path");
+    }
+}
+
+enum {
+    CONTROL_PORT,
+    ENGINES,
+    ENGINE_PORT,
+    PLAINS,
+    PLAIN_PORT,
+    SLOTS,
+    CAPACITY,
+    STEP_MS,
+    STEP_REQUEST_MS,
+    WEIGHTS,
+    FENCE,
+    SEED,
+    N_OPTIONS
+};
+
+static void
+init_fleet(struct fleet *fleet, const char **values)
+{
+    fleet->base = event_base_new();
+    CmHttpClient_Init(&fleet->client, fleet->base);
+    Standin_InitJournal(&fleet->journal);
+    fleet->weights = values[WEIGHTS];
+    fleet->random =
+        g_rand_new_with_seed((guint32)strtoul(values[SEED], NULL, 10));
+    fleet->slots = atoi(values[SLOTS]);
+    fleet->capacity = atoi(values[CAPACITY]);
+    fleet->step_ms = g_ascii_strtod(values[STEP_MS], NULL);
+    fleet->step_request_ms = g_ascii_strtod(values[STEP_REQUEST_MS], NULL);
+    fleet->report_lag_ms = 200;
+    fleet->keep_fence = strcmp(values[FENCE], "keep") == 0;
+}
+
+static void
+init_targets(struct standin *standin, const char **values)
+{
+    standin->n_engines = atoi(values[ENGINES]);
+    standin->n_plains = atoi(values[PLAINS]);
+    standin->engines = g_new0(struct engine, (gsize)standin->n_engines + 1);
+    standin->plains = g_new0(struct plain, (gsize)standin->n_plains + 1);
+    char name[ENGINE_NAME_MAX];
+    for (int i = 0; i < standin->n_engines; i++) {
+        g_snprintf(name, sizeof(name), "engine-%02d", i + 1);
+        Engine_Init(&standin->engines[i], &standin->fleet, name,
+                    atoi(values[ENGINE_PORT]) + i);
+    }
+    for (int i = 0; i < standin->n_plains; i++) {
+        g_snprintf(name, sizeof(name), "plain-%02d", i + 1);
+        Plain_Init(&standin->plains[i], &standin->fleet, name,
+                   atoi(values[PLAIN_PORT]) + i);
+    }
+}
+
+static void
+finish(struct standin *standin)
+{
+    for (int i = 0; i < standin->n_engines; i++) {
+        Engine_Finish(&standin->engines[i]);
+    }
+    for (int i = 0; i < standin->n_plains; i++) {
+        Plain_Finish(&standin->plains[i]);
+    }
+    g_free(standin->engines);
+    g_free(standin->plains);
+    CmHttpClient_Finish(&standin->fleet.client);
+    Standin_FinishJournal(&standin->fleet.journal);
+    g_rand_free(standin->fleet.random);
+    event_base_free(standin->fleet.base);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const char *const names[] = {
+        "control-port",    "engines", "engine-port", "plains",
+        "plain-port",      "slots",   "capacity",    "step-ms",
+        "step-request-ms", "weights", "fence",       "seed"};
+    const char *values[] = {"7100", "1",  "7101", "0",   "7180",
+                            "8",    "32", "2",    "0.1", "127.0.0.1:7000",
+                            "keep", "1"};
+    Standin_ParseOptions(argc, argv, names, values, N_OPTIONS);
+    struct standin standin = {0};
+    init_fleet(&standin.fleet, values);
+    init_targets(&standin, values);
+    struct evhttp *control = Standin_Listen(
+        standin.fleet.base, atoi(values[CONTROL_PORT]), on_control, &standin);
+    Standin_Run(standin.fleet.base);
+    evhttp_free(control);
+    finish(&standin);
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/testing/standin-engine/plain.c
@@ -0,0 +1,157 @@
+/// @file plain.c
+/// One plain target.
+
+#include "plain.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "http/server.h"
+
+#define DEFAULT_DELAY_MS 5
+#define RESTART_MS 1000
+
+struct plain_run {
+    struct plain *plain;
+    struct evhttp_request *request;
+    uint64_t generation;
+};
+
+static const char *
+header(struct evhttp_request *request, const char *name)
+{
+    const char *value =
+        evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value != NULL ? value : "";
+}
+
+static void
+reply(struct plain *plain, struct evhttp_request *request)
+{
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(input);
+    char *body = g_strndup(
+        size > 0 ? (const char *)evbuffer_pullup(input, -1) : "", size);
+    char *valid = g_utf8_make_valid(body, -1);
+    enum evhttp_cmd_type method = evhttp_request_get_command(request);
+    json_t *answer = json_pack("{s:s,s:s,s:s,s:s,s:I}", "target", plain->name,
+                               "method", CmHttp_MethodName(method), "path",
+                               evhttp_request_get_uri(request), "echo", valid,
+                               "run", (json_int_t)plain->runs);
+    g_free(valid);
+    g_free(body);
+    CmHttp_ReplyJson(request, HTTP_OK, answer);
+}
+
+static void
+on_run_over(evutil_socket_t fd, short what, void *context)
+{
+    struct plain_run *run = context;
+    if (run->generation != run->plain->generation) {
+        evhttp_connection_free(evhttp_request_get_connection(run->request));
+    }
+    else if (!run->plain->silent) {
+        reply(run->plain, run->request);
+    }
+    g_free(run);
+}
+
+static void
+crash(struct plain *plain)
+{
+    plain->generation++;
+    plain->down = true;
+    struct timeval tv = CmTime_Timeval(RESTART_MS);
+    event_add(plain->restarted, &tv);
+}
+
+static void
+on_restarted(evutil_socket_t fd, short what, void *context)
+{
+    ((struct plain *)context)->down = false;
+}
+
+static bool
+crashes(const struct plain *plain, struct evhttp_request *request)
+{
+    if (plain->crash_on == NULL) {
+        return false;
+    }
+    struct evbuffer *input = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(input);
+    return size > 0 && g_strstr_len((const char *)evbuffer_pullup(input, -1),
+                                    (gssize)size, plain->crash_on) != NULL;
+}
+
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    struct plain *plain = context;
+    if (plain->down) {
+        evhttp_connection_free(evhttp_request_get_connection(request));
+        return;
+    }
+    if (strcmp(CmHttp_Path(request), "/health") == 0) {
+        CmHttp_ReplyText(request, HTTP_OK, "text/plain", "ok");
+        return;
+    }
+    plain->runs++;
+    Standin_Record(&plain->fleet->journal,
+                   json_pack("{s:s,s:s,s:s,s:s,s:s,s:s}", "id",
+                             header(request, "X-Request-Id"), "key",
+                             header(request, "Idempotency-Key"), "service",
+                             "plain", "adapter", "", "version", "", "target",
+                             plain->name));
+    struct plain_run *run = g_new0(struct plain_run, 1);
+    run->plain = plain;
+    run->request = request;
+    run->generation = plain->generation;
+    struct timeval delay = CmTime_Timeval(plain->delay_ms);
+    event_base_once(plain->fleet->base, -1, EV_TIMEOUT, on_run_over, run,
+                    &delay);
+    if (crashes(plain, request)) {
+        crash(plain);
+    }
+}
+
+void
+Plain_Init(struct plain *plain, struct fleet *fleet, const char *name,
+           int port)
+{
+    memset(plain, 0, sizeof(*plain));
+    plain->fleet = fleet;
+    plain->delay_ms = DEFAULT_DELAY_MS;
+    g_strlcpy(plain->name, name, sizeof(plain->name));
+    plain->restarted = evtimer_new(fleet->base, on_restarted, plain);
+    plain->server = Standin_Listen(fleet->base, port, on_request, plain);
+}
+
+void
+Plain_Finish(struct plain *plain)
+{
+    evhttp_free(plain->server);
+    event_free(plain->restarted);
+    g_free(plain->crash_on);
+}
+
+void
+Plain_SetFaults(struct plain *plain, const json_t *body)
+{
+    const json_t *crash_on = json_object_get(body, "crash_on");
+    if (crash_on != NULL) {
+        g_free(plain->crash_on);
+        const char *text = json_string_value(crash_on);
+        plain->crash_on =
+            text != NULL && *text != '\0' ? g_strdup(text) : NULL;
+    }
+    const json_t *silent = json_object_get(body, "silent");
+    if (silent != NULL) {
+        plain->silent = json_is_true(silent);
+    }
+    plain->delay_ms =
+        (int)Standin_Number(body, "token_delay_ms", plain->delay_ms);
+    if (json_is_true(json_object_get(body, "restart"))) {
+        crash(plain);
+    }
+}
