--- a/packages/link/include/link/message_defs.h
+++ b/packages/link/include/link/message_defs.h
@@ -152,6 +152,8 @@
 struct cm_msg_head {
     struct cm_bytes stream;
     uint64_t status;
+    uint64_t stall_ms; ///< time the request waited for its adapter
+    uint64_t queue_ms; ///< time it waited for room in the batch after that
     struct cm_bytes headers;
 };
 
@@ -166,7 +168,6 @@
     uint64_t outcome; ///< enum cm_outcome
     uint64_t reason;  ///< enum cm_reason
     uint64_t size;    ///< bytes of the whole answer
-    uint64_t stall_ms;
 };
 
 /// What an agent knows of a request id.
--- a/packages/link/src/message.c
+++ b/packages/link/src/message.c
@@ -104,8 +104,8 @@
          slot_fields),
 };
 static const struct field head_fields[] = {
-    BYTES(struct cm_msg_head, stream),
-    NUMBER(struct cm_msg_head, status),
+    BYTES(struct cm_msg_head, stream),    NUMBER(struct cm_msg_head, status),
+    NUMBER(struct cm_msg_head, stall_ms), NUMBER(struct cm_msg_head, queue_ms),
     BYTES(struct cm_msg_head, headers),
 };
 static const struct field chunk_fields[] = {
@@ -114,9 +114,10 @@
     BYTES(struct cm_msg_chunk, data),
 };
 static const struct field end_fields[] = {
-    BYTES(struct cm_msg_end, stream),    NUMBER(struct cm_msg_end, outcome),
-    NUMBER(struct cm_msg_end, reason),   NUMBER(struct cm_msg_end, size),
-    NUMBER(struct cm_msg_end, stall_ms),
+    BYTES(struct cm_msg_end, stream),
+    NUMBER(struct cm_msg_end, outcome),
+    NUMBER(struct cm_msg_end, reason),
+    NUMBER(struct cm_msg_end, size),
 };
 static const struct field sealed_fields[] = {
     BYTES(struct cm_msg_sealed, id),
--- a/packages/placement/include/placement/scheduler_defs.h
+++ b/packages/placement/include/placement/scheduler_defs.h
@@ -53,6 +53,7 @@
     uint64_t epoch;       ///< grows when the slot is cleared
     bool closing;         ///< takes no new jobs, to be evicted when idle
     struct timespec used;
+    struct timespec loaded;
 };
 
 /// All that waits for, or holds, one adapter.
--- a/packages/placement/src/scheduler.c
+++ b/packages/placement/src/scheduler.c
@@ -522,6 +522,7 @@
     if (ok) {
         slot->state = CM_SLOT_READY;
         slot->used = now;
+        slot->loaded = now;
         want->failures = 0;
         want->prefetch = false;
         return;
@@ -577,6 +578,7 @@
     slot->state = CM_SLOT_READY;
     slot->want = want;
     slot->used = now;
+    slot->loaded = now;
     want->slot = slot;
     update_waiting(scheduler, want);
     return true;
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -101,7 +101,8 @@
     bool paused;       ///< reading from the target is stopped
     enum cm_outcome outcome;
     enum cm_reason reason;
-    int64_t stall_ms;
+    int64_t stall_ms; ///< waited for its adapter
+    int64_t queue_ms; ///< waited for room in the batch
     struct timespec started;
     struct timespec finished;
 };
--- a/programs/coriandermoor-agent/jobs.c
+++ b/programs/coriandermoor-agent/jobs.c
@@ -123,11 +123,10 @@
 static void
 send_end(struct agent *agent, const struct cm_link_peer *peer,
          struct cm_bytes stream, enum cm_outcome outcome,
-         enum cm_reason reason, size_t size, int64_t stall_ms)
+         enum cm_reason reason, size_t size)
 {
     struct cm_message message = {.type = CM_MSG_END};
-    message.end =
-        (struct cm_msg_end){stream, outcome, reason, size, (uint64_t)stall_ms};
+    message.end = (struct cm_msg_end){stream, outcome, reason, size};
     CmLink_Send(&agent->link, peer, &message);
 }
 
@@ -186,12 +185,12 @@
 {
     if (job->state == JOB_SEALED) {
         send_end(job->agent, peer, submit->id, CM_OUTCOME_NOT_RUN,
-                 CM_REASON_SEALED, 0, 0);
+                 CM_REASON_SEALED, 0);
         return;
     }
     if (job->dropped) {
         send_end(job->agent, peer, submit->id, CM_OUTCOME_UNKNOWN,
-                 CM_REASON_STALE, 0, 0);
+                 CM_REASON_STALE, 0);
         return;
     }
     send_accepted(job->agent, peer, job->id);
@@ -218,7 +217,7 @@
         enum cm_outcome outcome = reason == CM_REASON_STALE
                                       ? CM_OUTCOME_UNKNOWN
                                       : CM_OUTCOME_NOT_RUN;
-        send_end(agent, &peer->address, submit->id, outcome, reason, 0, 0);
+        send_end(agent, &peer->address, submit->id, outcome, reason, 0);
         return;
     }
     struct timespec now = Agent_Now(agent);
@@ -290,7 +289,7 @@
         bool never = job != NULL && job->state == JOB_SEALED;
         send_end(agent, peer, attach->stream,
                  never ? CM_OUTCOME_NOT_RUN : CM_OUTCOME_UNKNOWN,
-                 never ? CM_REASON_SEALED : CM_REASON_STALE, 0, 0);
+                 never ? CM_REASON_SEALED : CM_REASON_STALE, 0);
         return;
     }
     add_reader(job, peer, attach->stream, attach->offset, attach->window);
@@ -361,6 +360,8 @@
     struct cm_message message = {.type = CM_MSG_HEAD};
     message.head.stream = CmBytes_Text(reader->stream);
     message.head.status = (uint64_t)job->status;
+    message.head.stall_ms = (uint64_t)job->stall_ms;
+    message.head.queue_ms = (uint64_t)job->queue_ms;
     message.head.headers = CmBytes_Text(job->head);
     reader->head_sent =
         CmLink_Send(&job->agent->link, &reader->peer, &message);
@@ -406,7 +407,7 @@
     }
     if (finished && reader->sent >= job->releasable && !reader->end_sent) {
         send_end(job->agent, &reader->peer, CmBytes_Text(reader->stream),
-                 job->outcome, job->reason, job->releasable, job->stall_ms);
+                 job->outcome, job->reason, job->releasable);
         reader->end_sent = true;
     }
 }
--- a/programs/coriandermoor-agent/runs.c
+++ b/programs/coriandermoor-agent/runs.c
@@ -91,13 +91,28 @@
     }
 }
 
+/// Splits the time before the start into waiting for the adapter and waiting
+/// for room in the batch.
+static void
+note_waits(struct job *job)
+{
+    int64_t waited_ms = CmTime_DiffMs(job->started, job->base.arrived);
+    job->stall_ms = 0;
+    if (job->base.slot != NULL) {
+        int64_t stall_ms =
+            CmTime_DiffMs(job->base.slot->loaded, job->base.arrived);
+        job->stall_ms = stall_ms > 0 ? stall_ms : 0;
+    }
+    job->queue_ms = waited_ms - job->stall_ms;
+}
+
 void
 Run_Start(struct job *job)
 {
     struct agent *agent = job->agent;
     job->state = JOB_RUNNING;
     job->started = Agent_Now(agent);
-    job->stall_ms = CmTime_DiffMs(job->started, job->base.arrived);
+    note_waits(job);
     agent->count.stall_ms.value += job->stall_ms;
     send_started(job);
     char *lines = g_strdup(job->headers);
--- a/programs/coriandermoor/attempts.c
+++ b/programs/coriandermoor/attempts.c
@@ -245,6 +245,8 @@
         return;
     }
     attempt->phase = CM_ATTEMPT_STARTED;
+    attempt->exchange->stall_ms = (int64_t)head->stall_ms;
+    attempt->exchange->queue_ms = (int64_t)head->queue_ms;
     Exchange_Head(attempt->exchange, attempt, (int)head->status,
                   CmBytes_Dup(head->headers));
 }
@@ -297,8 +299,7 @@
     enum cm_reason reason = (enum cm_reason)end->reason;
     if (end->outcome == CM_OUTCOME_RAN) {
         if (attempt->headed && attempt->received == end->size) {
-            Exchange_Complete(attempt->exchange, attempt,
-                              (int64_t)end->stall_ms);
+            Exchange_Complete(attempt->exchange, attempt);
         }
         else {
             ask_for_rest(attempt);
--- a/programs/coriandermoor/exchange.c
+++ b/programs/coriandermoor/exchange.c
@@ -511,12 +511,10 @@
 }
 
 void
-Exchange_Complete(struct exchange *exchange, struct attempt *attempt,
-                  int64_t stall_ms)
+Exchange_Complete(struct exchange *exchange, struct attempt *attempt)
 {
     struct entry *entry = exchange->entry;
-    exchange->stall_ms = stall_ms;
-    entry->count.stall_ms.value += stall_ms;
+    entry->count.stall_ms.value += exchange->stall_ms;
     count_outcome(entry, CM_OUTCOME_RAN);
     CmQuarantine_Clear(&entry->quarantine, exchange->fingerprint);
     Attempt_Credit(attempt);
--- a/programs/coriandermoor/exchange.h
+++ b/programs/coriandermoor/exchange.h
@@ -42,7 +42,8 @@
     bool streaming;   ///< the reply has begun before the answer is whole
     bool overflowed;  ///< `answer` no longer holds everything
     size_t dropped;   ///< bytes no longer in `answer`
-    int64_t stall_ms;
+    int64_t stall_ms; ///< waited for its adapter
+    int64_t queue_ms; ///< waited for room in the batch
 
     char *key; ///< idempotency key, NULL where none is needed
     char key_hash[CM_ONCE_KEY_SIZE];
@@ -83,8 +84,7 @@
 
 /// The whole answer is here.
 void
-Exchange_Complete(struct exchange *exchange, struct attempt *attempt,
-                  int64_t stall_ms);
+Exchange_Complete(struct exchange *exchange, struct attempt *attempt);
 
 /// Ends with a refusal or an error of our own. Frees the exchange.
 void
--- a/programs/coriandermoor/replies.c
+++ b/programs/coriandermoor/replies.c
@@ -6,6 +6,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -24,6 +25,14 @@
     return stream;
 }
 
+static void
+add_number(struct evkeyvalq *headers, const char *name, int64_t number)
+{
+    char text[24];
+    snprintf(text, sizeof(text), "%" PRId64, number);
+    evhttp_add_header(headers, name, text);
+}
+
 static void
 add_own_headers(struct exchange *exchange, enum cm_outcome outcome)
 {
@@ -37,6 +46,10 @@
     if (exchange->adapter != NULL) {
         evhttp_add_header(headers, "X-Adapter", exchange->adapter);
     }
+    if (exchange->answer_headers != NULL) {
+        add_number(headers, "X-Stall-Ms", exchange->stall_ms);
+        add_number(headers, "X-Queue-Ms", exchange->queue_ms);
+    }
 }
 
 void
--- a/testing/common/standin.c
+++ b/testing/common/standin.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "http/server.h"
 
 #define HEADER_MAX_BYTES (64 * 1024)
@@ -33,6 +34,8 @@
 void
 Standin_Record(struct standin_journal *journal, json_t *entry)
 {
+    json_object_set_new(entry, "at_ms",
+                        json_integer(CmClock_WallMs(CmClock_System())));
     char *line = json_dumps(entry, JSON_COMPACT);
     json_decref(entry);
     g_string_append(journal->lines, line);
--- /dev/null
+++ b/testing/loadgen/summary.c
@@ -0,0 +1,183 @@
+/// @file summary.c
+/// Figures of a run.
+
+#include "summary.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+
+static const char *const kind_names[] = {"completion", "stream", "lookup",
+                                         "ledger"};
+static const char *const outcome_names[] = {"ran", "not-run", "unknown",
+                                            "none"};
+
+bool
+Summary_WriteCsv(const GArray *results, const char *path, GError **error)
+{
+    FILE *out = fopen(path, "w");
+    if (out == NULL) {
+        g_set_error(error, CM_ERROR, CM_ERROR_IO, "%s: %s", path,
+                    strerror(errno));
+        return false;
+    }
+    fprintf(out, "index,resend,kind,adapter,at_s,first_ms,total_ms,status,"
+                 "outcome,wrong,cut,stall_ms,queue_ms\n");
+    for (guint i = 0; i < results->len; i++) {
+        const struct result *r = &g_array_index(results, struct result, i);
+        fprintf(out, "%d,%d,%s,%d,%.4f,%.3f,%.3f,%d,%s,%d,%d,%.0f,%.0f\n",
+                r->index, r->is_resend, kind_names[r->kind], r->adapter,
+                r->at_s, r->first_ms, r->total_ms, r->status,
+                outcome_names[r->outcome], r->wrong, r->cut, r->stall_ms,
+                r->queue_ms);
+    }
+    fclose(out);
+    return true;
+}
+
+static int
+compare(gconstpointer a, gconstpointer b)
+{
+    double left = *(const double *)a;
+    double right = *(const double *)b;
+    return left < right ? -1 : left > right;
+}
+
+void
+Summary_Sort(GArray *numbers)
+{
+    g_array_sort(numbers, compare);
+}
+
+double
+Summary_Quantile(const GArray *sorted, double p)
+{
+    if (sorted->len == 0) {
+        return 0;
+    }
+    guint i = (guint)(p * (double)(sorted->len - 1) + 0.5);
+    return g_array_index(sorted, double, i);
+}
+
+static double
+mean(const GArray *numbers)
+{
+    double sum = 0;
+    for (guint i = 0; i < numbers->len; i++) {
+        sum += g_array_index(numbers, double, i);
+    }
+    return numbers->len > 0 ? sum / numbers->len : 0;
+}
+
+/// Adds mean, median, p99 of `numbers` under `name`.
+static void
+add_distribution(json_t *json, const char *name, GArray *numbers)
+{
+    Summary_Sort(numbers);
+    json_object_set_new(json, name,
+                        json_pack("{s:f,s:f,s:f,s:f,s:f}", "mean",
+                                  mean(numbers), "p50",
+                                  Summary_Quantile(numbers, 0.5), "p95",
+                                  Summary_Quantile(numbers, 0.95), "p99",
+                                  Summary_Quantile(numbers, 0.99), "max",
+                                  Summary_Quantile(numbers, 1)));
+}
+
+/// Waits of each adapter: p99 of the worst-served hundredth over the median.
+static double
+fairness(const GArray *results, double from_s)
+{
+    GHashTable *waits = g_hash_table_new_full(
+        g_direct_hash, g_direct_equal, NULL, (GDestroyNotify)g_array_unref);
+    for (guint i = 0; i < results->len; i++) {
+        const struct result *r = &g_array_index(results, struct result, i);
+        if (r->at_s < from_s || r->kind > TRACE_STREAM ||
+            r->outcome != RESULT_RAN) {
+            continue;
+        }
+        gpointer key = GINT_TO_POINTER(r->adapter);
+        GArray *list = g_hash_table_lookup(waits, key);
+        if (list == NULL) {
+            list = g_array_new(FALSE, FALSE, sizeof(double));
+            g_hash_table_insert(waits, key, list);
+        }
+        g_array_append_val(list, r->first_ms);
+    }
+    GArray *p99s = g_array_new(FALSE, FALSE, sizeof(double));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, waits);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Summary_Sort(value);
+        double p99 = Summary_Quantile(value, 0.99);
+        g_array_append_val(p99s, p99);
+    }
+    Summary_Sort(p99s);
+    double median = Summary_Quantile(p99s, 0.5);
+    double worst = Summary_Quantile(p99s, 0.99);
+    g_array_free(p99s, TRUE);
+    g_hash_table_destroy(waits);
+    return median > 0 ? worst / median : 0;
+}
+
+struct tally {
+    int outcomes[4];
+    int wrong;
+    int cut;
+};
+
+void
+Summary_Write(const GArray *results, const struct experiment *experiment,
+              const struct snapshot *before, const struct snapshot *after,
+              int capacity, const char *path)
+{
+    GArray *stalls = g_array_new(FALSE, FALSE, sizeof(double));
+    GArray *queues = g_array_new(FALSE, FALSE, sizeof(double));
+    GArray *firsts = g_array_new(FALSE, FALSE, sizeof(double));
+    GArray *totals = g_array_new(FALSE, FALSE, sizeof(double));
+    struct tally tally = {0};
+    for (guint i = 0; i < results->len; i++) {
+        const struct result *r = &g_array_index(results, struct result, i);
+        tally.outcomes[r->outcome]++;
+        tally.wrong += r->wrong;
+        tally.cut += r->cut;
+        if (r->at_s < experiment->warmup_s || r->outcome != RESULT_RAN) {
+            continue;
+        }
+        g_array_append_val(totals, r->total_ms);
+        if (r->kind <= TRACE_STREAM) {
+            g_array_append_val(stalls, r->stall_ms);
+            g_array_append_val(queues, r->queue_ms);
+            g_array_append_val(firsts, r->first_ms);
+        }
+    }
+    double steps = after->steps - before->steps;
+    double fill =
+        steps > 0 ? (after->batch_sum - before->batch_sum) / steps / capacity
+                  : 0;
+    json_t *json = json_pack(
+        "{s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f}", "name",
+        experiment->name, "seed", (json_int_t)experiment->seed, "requests",
+        (int)results->len, "ran", tally.outcomes[RESULT_RAN], "not_run",
+        tally.outcomes[RESULT_NOT_RUN], "unknown",
+        tally.outcomes[RESULT_UNKNOWN], "none", tally.outcomes[RESULT_NONE],
+        "wrong", tally.wrong, "cut", tally.cut, "loads",
+        after->loads - before->loads, "batch_fill", fill, "evicted_in_use",
+        after->evicted_in_use - before->evicted_in_use, "in_transit_peak",
+        after->in_transit_peak, "fairness",
+        fairness(results, experiment->warmup_s));
+    add_distribution(json, "stall_ms", stalls);
+    add_distribution(json, "queue_ms", queues);
+    add_distribution(json, "first_ms", firsts);
+    add_distribution(json, "total_ms", totals);
+    json_dump_file(json, path, JSON_INDENT(1));
+    json_dumpf(json, stdout, JSON_COMPACT | JSON_REAL_PRECISION(5));
+    printf("\n");
+    json_decref(json);
+    g_array_free(stalls, TRUE);
+    g_array_free(queues, TRUE);
+    g_array_free(firsts, TRUE);
+    g_array_free(totals, TRUE);
+}
--- a/testing/standin-platform/main.c
+++ b/testing/standin-platform/main.c
@@ -393,12 +393,13 @@
 {
     const struct counts *counts = &platform->counts;
     CmHttp_ReplyJson(request, HTTP_OK,
-                     json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
+                     json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
                                (json_int_t)counts->reads, "writes",
                                (json_int_t)counts->writes, "watches",
                                (json_int_t)counts->watches, "conflicts",
                                (json_int_t)counts->conflicts, "lost_answers",
-                               (json_int_t)counts->lost_answers,
+                               (json_int_t)counts->lost_answers, "loads",
+                               (json_int_t)platform->journal.count,
                                "in_transit_peak",
                                (json_int_t)platform->weights.in_transit_peak));
 }
--- a/testing/standin-platform/weights.c
+++ b/testing/standin-platform/weights.c
@@ -107,6 +107,6 @@
     struct timeval tv = CmTime_Timeval((int64_t)(start - now));
     event_add(transfer->timer, &tv);
     Standin_Record(weights->journal,
-                   json_pack("{s:s,s:I,s:f}", "weights", name, "in_transit",
-                             (json_int_t)weights->in_transit, "at_ms", now));
+                   json_pack("{s:s,s:I}", "weights", name, "in_transit",
+                             (json_int_t)weights->in_transit));
 }
