fix(agent,entry): pins of unknown runs, own pauses, listed leaving

Change: adopted slots and slots of runs whose end is not confirmed are not evicted until the engine's load report shows nothing foreign; a cancelled run keeps its pin until the engine confirms; an entry that notices a jump of its clock forgives the silence; heartbeats tell agents what the list says.

--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -29,10 +29,15 @@
 struct cm_engine;
 struct cm_order;
 
-/// Called once when an order ends. `adapters` is set by `list` only: a
-/// NULL-terminated array, valid during the call.
+/// What an order brought back; each order sets its own field.
+struct cm_order_answer {
+    char **adapters; ///< `list`: NULL-terminated, valid during the call
+    int64_t busy;    ///< `report`: requests running or waiting
+};
+
+/// Called once when an order ends.
 typedef void (*cm_order_done)(void *context, enum cm_order_end end,
-                              char **adapters);
+                              const struct cm_order_answer *answer);
 
 struct cm_engine_ops {
     void (*load)(struct cm_engine *engine, struct cm_order *order,
@@ -41,6 +46,8 @@
                    const char *adapter);
     void (*list)(struct cm_engine *engine, struct cm_order *order);
     void (*health)(struct cm_engine *engine, struct cm_order *order);
+    /// Asks for the engine's load report, which lags.
+    void (*report)(struct cm_engine *engine, struct cm_order *order);
     /// Gives up the run that the engine knows as `id`.
     void (*cancel)(struct cm_engine *engine, struct cm_order *order,
                    const char *id);
@@ -59,7 +66,7 @@
     cm_order_done done;
     void *context;
     int status;
-    bool lists;
+    enum { CM_ORDER_PLAIN, CM_ORDER_LISTS, CM_ORDER_REPORTS } reads;
     GString *body;
 };
 
--- a/packages/engine/src/openai.c
+++ b/packages/engine/src/openai.c
@@ -70,17 +70,30 @@
     return (char **)g_ptr_array_free(names, FALSE);
 }
 
+static int64_t
+parse_busy(const char *body)
+{
+    json_t *json = json_loads(body, 0, NULL);
+    int64_t busy = json_integer_value(json_object_get(json, "running")) +
+                   json_integer_value(json_object_get(json, "waiting"));
+    json_decref(json);
+    return busy;
+}
+
 static void
 on_end(void *context, enum cm_http_end http_end)
 {
     struct cm_order *order = context;
     enum cm_order_end end = classify(order, http_end);
-    char **adapters = NULL;
-    if (order->lists && end == CM_ORDER_DONE) {
-        adapters = parse_list(order->body->str);
+    struct cm_order_answer answer = {0};
+    if (order->reads == CM_ORDER_LISTS && end == CM_ORDER_DONE) {
+        answer.adapters = parse_list(order->body->str);
     }
-    order->done(order->context, end, adapters);
-    g_strfreev(adapters);
+    if (order->reads == CM_ORDER_REPORTS && end == CM_ORDER_DONE) {
+        answer.busy = parse_busy(order->body->str);
+    }
+    order->done(order->context, end, &answer);
+    g_strfreev(answer.adapters);
 }
 
 static const struct cm_http_handler handler = {on_head, on_data, on_end};
@@ -117,7 +130,7 @@
         json_pack("{s:s,s:s}", "lora_name", adapter, "lora_path", adapter);
     char *body = json_dumps(json, JSON_COMPACT);
     json_decref(json);
-    order->lists = false;
+    order->reads = CM_ORDER_PLAIN;
     start(engine, order, EVHTTP_REQ_POST, path, body, timeout_ms);
     free(body);
 }
@@ -139,7 +152,7 @@
 static void
 list(struct cm_engine *engine, struct cm_order *order)
 {
-    order->lists = true;
+    order->reads = CM_ORDER_LISTS;
     start(engine, order, EVHTTP_REQ_GET, "/v1/models", NULL,
           CM_ORDER_TIMEOUT_MS);
 }
@@ -147,7 +160,7 @@
 static void
 health(struct cm_engine *engine, struct cm_order *order)
 {
-    order->lists = false;
+    order->reads = CM_ORDER_PLAIN;
     start(engine, order, EVHTTP_REQ_GET, "/health", NULL, CM_ORDER_TIMEOUT_MS);
 }
 
@@ -157,14 +170,21 @@
     json_t *json = json_pack("{s:s}", "id", id);
     char *body = json_dumps(json, JSON_COMPACT);
     json_decref(json);
-    order->lists = false;
+    order->reads = CM_ORDER_PLAIN;
     start(engine, order, EVHTTP_REQ_POST, "/v1/cancel", body,
           CM_ORDER_TIMEOUT_MS);
     free(body);
 }
 
-static const struct cm_engine_ops openai_ops = {load, unload, list, health,
-                                                cancel};
+static void
+report(struct cm_engine *engine, struct cm_order *order)
+{
+    order->reads = CM_ORDER_REPORTS;
+    start(engine, order, EVHTTP_REQ_GET, "/load", NULL, CM_ORDER_TIMEOUT_MS);
+}
+
+static const struct cm_engine_ops openai_ops = {load,   unload, list,
+                                                health, report, cancel};
 
 void
 CmEngine_InitOpenAi(struct cm_engine *engine, struct cm_http_client *client,
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -56,12 +56,29 @@
 void
 CmScheduler_Lost(struct cm_scheduler *scheduler, const char *adapter);
 
+/// @return whether `adapter` has a slot.
+bool
+CmScheduler_Holds(const struct cm_scheduler *scheduler, const char *adapter);
+
 /// The engine turned out to hold `adapter`; takes a free slot for it.
 /// @return false where no slot is free.
 bool
 CmScheduler_Adopt(struct cm_scheduler *scheduler, const char *adapter,
                   struct timespec now);
 
+/// Runs that this scheduler does not know of may use the adapter: it is not
+/// evicted until CmScheduler_ClearForeign().
+void
+CmScheduler_MarkForeign(struct cm_scheduler *scheduler, const char *adapter);
+
+/// The engine runs nothing but this scheduler's jobs.
+void
+CmScheduler_ClearForeign(struct cm_scheduler *scheduler);
+
+/// @return whether some slot may serve runs that are not known here.
+bool
+CmScheduler_AnyForeign(const struct cm_scheduler *scheduler);
+
 /// The engine restarted cold: all slots are empty.
 void
 CmScheduler_Reset(struct cm_scheduler *scheduler);
--- a/packages/placement/include/placement/scheduler_defs.h
+++ b/packages/placement/include/placement/scheduler_defs.h
@@ -51,7 +51,8 @@
     struct cm_want *next; ///< adapter that gets the slot after an eviction
     size_t pins;          ///< running jobs; never evicted while above zero
     uint64_t epoch;       ///< grows when the slot is cleared
-    bool closing;         ///< takes no new jobs, to be evicted when idle
+    bool foreign; ///< may serve runs that are not known here: not evicted
+    bool closing; ///< takes no new jobs, to be evicted when idle
     struct timespec used;
     struct timespec loaded;
 };
--- a/packages/placement/src/scheduler.c
+++ b/packages/placement/src/scheduler.c
@@ -310,7 +310,7 @@
         if (slot->state != CM_SLOT_READY || (slot->closing && busy)) {
             continue;
         }
-        bool idle = slot->pins == 0 &&
+        bool idle = slot->pins == 0 && !slot->foreign &&
                     (TAILQ_EMPTY(&slot->want->jobs) || slot->closing);
         if (idle == busy) {
             continue;
@@ -505,6 +505,7 @@
     slot->want = NULL;
     slot->epoch++;
     slot->pins = 0;
+    slot->foreign = false;
     slot->closing = false;
     if (want != NULL) {
         want->slot = NULL;
@@ -564,6 +565,14 @@
     }
 }
 
+bool
+CmScheduler_Holds(const struct cm_scheduler *scheduler, const char *adapter)
+{
+    const struct cm_want *want =
+        g_hash_table_lookup(scheduler->wants, adapter);
+    return want != NULL && want->slot != NULL;
+}
+
 bool
 CmScheduler_Adopt(struct cm_scheduler *scheduler, const char *adapter,
                   struct timespec now)
@@ -584,6 +593,34 @@
     return true;
 }
 
+void
+CmScheduler_MarkForeign(struct cm_scheduler *scheduler, const char *adapter)
+{
+    struct cm_want *want = g_hash_table_lookup(scheduler->wants, adapter);
+    if (want != NULL && want->slot != NULL) {
+        want->slot->foreign = true;
+    }
+}
+
+void
+CmScheduler_ClearForeign(struct cm_scheduler *scheduler)
+{
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        scheduler->slots[i].foreign = false;
+    }
+}
+
+bool
+CmScheduler_AnyForeign(const struct cm_scheduler *scheduler)
+{
+    for (size_t i = 0; i < scheduler->n_slots; i++) {
+        if (scheduler->slots[i].foreign) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 CmScheduler_Reset(struct cm_scheduler *scheduler)
 {
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -47,6 +47,7 @@
     int64_t least_offset_ms; ///< smallest seen of own time minus its time
     uint64_t revision;
     uint64_t slots_seen;
+    bool says_leaving; ///< the instance list, as the entry reads it
 };
 
 /// One entry's claim to an answer.
@@ -97,6 +98,7 @@
     GString *answer;
     size_t trimmed;    ///< offset of the first byte still kept
     size_t releasable; ///< offset up to which bytes may go to readers
+    bool releasing;    ///< ended, yet pinned until the engine let go of it
     bool dropped;      ///< only id and outcome are left
     bool paused;       ///< reading from the target is stopped
     enum cm_outcome outcome;
@@ -157,7 +159,8 @@
     struct cm_engine engine;
     struct evhttp *admin;
     uint64_t incarnation;
-    bool leaving;
+    bool leaving;        ///< told to stop
+    bool listed_leaving; ///< the instance list says so
     bool healthy;
     bool finishing;
     struct timespec leaving_since;
@@ -174,6 +177,9 @@
     struct cm_order list_order;
     uint64_t list_orders_given; ///< `orders_given` when the list was asked
     struct cm_order health_order;
+    struct cm_order report_order;
+    struct timespec foreign_since; ///< last time a slot was marked foreign
+    size_t least_running;          ///< fewest own runs since the last report
     struct permit_slot permits[CM_LOADS_AT_ONCE];
     uint64_t next_permit;
     struct cm_load_pace pace;
--- a/programs/coriandermoor-agent/health.c
+++ b/programs/coriandermoor-agent/health.c
@@ -75,7 +75,8 @@
 }
 
 static void
-on_health(void *context, enum cm_order_end end, char **adapters)
+on_health(void *context, enum cm_order_end end,
+          const struct cm_order_answer *answer)
 {
     struct agent *agent = context;
     if (end == CM_ORDER_DONE || end == CM_ORDER_FAILED) {
--- a/programs/coriandermoor-agent/jobs.c
+++ b/programs/coriandermoor-agent/jobs.c
@@ -69,11 +69,6 @@
     g_hash_table_destroy(agent->streams);
 }
 
-static void
-ignore_cancel_answer(void *context, enum cm_order_end end, char **adapters)
-{
-}
-
 static struct job *
 job_new(struct agent *agent, struct cm_bytes id)
 {
@@ -83,7 +78,7 @@
     job->body = g_string_new(NULL);
     job->answer = g_string_new(NULL);
     LIST_INIT(&job->readers);
-    CmOrder_Init(&job->cancel, ignore_cancel_answer, job);
+    CmOrder_Init(&job->cancel, Run_Released, job);
     g_hash_table_insert(agent->jobs, job->id, job);
     TAILQ_INSERT_TAIL(&agent->all_jobs, job, link);
     return job;
@@ -147,7 +142,7 @@
     if (submit->incarnation != agent->incarnation) {
         return CM_REASON_STALE;
     }
-    if (agent->leaving) {
+    if (agent->leaving || agent->listed_leaving) {
         return CM_REASON_LEAVING;
     }
     if (left_ms <= 0) {
@@ -442,7 +437,7 @@
 {
     struct agent *agent = job->agent;
     struct timespec now = Agent_Now(agent);
-    if (job->base.want != NULL) {
+    if (job->base.want != NULL && !job->releasing) {
         CmScheduler_Remove(&agent->scheduler, &job->base, now);
     }
     job->state = JOB_FINISHED;
@@ -496,6 +491,9 @@
             continue;
         }
         int64_t age_ms = CmTime_DiffMs(now, job->finished);
+        if (job->releasing) {
+            continue;
+        }
         if (age_ms >= CM_JOB_RETAINED_MS) {
             job_free(job);
         }
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -186,6 +186,7 @@
         Peers_Expire(agent);
         Orders_Reconcile(agent);
     }
+    Orders_CheckForeign(agent);
     agent->count.running.value = (int64_t)agent->scheduler.running;
     agent->count.waiting.value = (int64_t)agent->scheduler.waiting_jobs;
     check_stop(agent);
--- a/programs/coriandermoor-agent/orders.c
+++ b/programs/coriandermoor-agent/orders.c
@@ -15,12 +15,19 @@
 /// Time without any answer after which the agent paces itself.
 #define OWN_PACE_AFTER_MS 1500
 #define LOAD_START_MS 250
+/// Oldest that an engine's load report can be.
+#define REPORT_LAG_MAX_MS 1000
 #define AVERAGE_WEIGHT 0.3
 
 static void
-on_slot_order(void *context, enum cm_order_end end, char **adapters);
+on_slot_order(void *context, enum cm_order_end end,
+              const struct cm_order_answer *answer);
 static void
-on_list(void *context, enum cm_order_end end, char **adapters);
+on_list(void *context, enum cm_order_end end,
+        const struct cm_order_answer *answer);
+static void
+on_report(void *context, enum cm_order_end end,
+          const struct cm_order_answer *answer);
 
 void
 Orders_Init(struct agent *agent)
@@ -34,6 +41,7 @@
         CmOrder_Init(&slot_order->order, on_slot_order, slot_order);
     }
     CmOrder_Init(&agent->list_order, on_list, agent);
+    CmOrder_Init(&agent->report_order, on_report, agent);
     CmLoadPace_Init(&agent->pace);
     agent->load_ms = LOAD_START_MS;
     agent->next_permit = 1;
@@ -46,6 +54,7 @@
         CmOrder_Finish(&agent->slot_orders[i].order);
     }
     CmOrder_Finish(&agent->list_order);
+    CmOrder_Finish(&agent->report_order);
     g_free(agent->slot_orders);
 }
 
@@ -168,7 +177,8 @@
 }
 
 static void
-on_slot_order(void *context, enum cm_order_end end, char **adapters)
+on_slot_order(void *context, enum cm_order_end end,
+              const struct cm_order_answer *answer)
 {
     struct slot_order *slot_order = context;
     struct agent *agent = slot_order->agent;
@@ -240,10 +250,65 @@
                 "the engine holds %s, for which no slot is free", adapter);
 }
 
+/// Takes over an adapter that the engine holds already. Runs of an earlier
+/// agent may still use it.
 static void
-on_list(void *context, enum cm_order_end end, char **adapters)
+adopt(struct agent *agent, const char *adapter)
+{
+    struct cm_scheduler *scheduler = &agent->scheduler;
+    if (CmScheduler_Holds(scheduler, adapter)) {
+        return;
+    }
+    if (CmScheduler_Adopt(scheduler, adapter, Agent_Now(agent))) {
+        Orders_MarkForeign(agent, adapter);
+        agent->slots_version++;
+    }
+    else {
+        unload_stray(agent, adapter);
+    }
+}
+
+void
+Orders_MarkForeign(struct agent *agent, const char *adapter)
+{
+    CmScheduler_MarkForeign(&agent->scheduler, adapter);
+    agent->foreign_since = Agent_Now(agent);
+}
+
+/// A report old enough to show all runs that began before the mark, with no
+/// more requests than this agent's own: nothing foreign is left.
+static void
+on_report(void *context, enum cm_order_end end,
+          const struct cm_order_answer *answer)
+{
+    struct agent *agent = context;
+    int64_t since_ms = CmTime_DiffMs(Agent_Now(agent), agent->foreign_since);
+    if (end == CM_ORDER_DONE && since_ms >= REPORT_LAG_MAX_MS &&
+        answer->busy <= (int64_t)agent->least_running) {
+        CmScheduler_ClearForeign(&agent->scheduler);
+        Agent_Turn(agent);
+    }
+    agent->least_running = agent->scheduler.running;
+}
+
+void
+Orders_CheckForeign(struct agent *agent)
+{
+    if (agent->scheduler.running < agent->least_running) {
+        agent->least_running = agent->scheduler.running;
+    }
+    if (CmScheduler_AnyForeign(&agent->scheduler) &&
+        !CmOrder_Active(&agent->report_order)) {
+        agent->engine.ops->report(&agent->engine, &agent->report_order);
+    }
+}
+
+static void
+on_list(void *context, enum cm_order_end end,
+        const struct cm_order_answer *answer)
 {
     struct agent *agent = context;
+    char **adapters = answer->adapters;
     if (end != CM_ORDER_DONE ||
         agent->orders_given != agent->list_orders_given ||
         orders_under_way(agent)) {
@@ -262,9 +327,7 @@
         }
     }
     for (char **adapter = adapters; *adapter != NULL; adapter++) {
-        if (!CmScheduler_Adopt(scheduler, *adapter, Agent_Now(agent))) {
-            unload_stray(agent, *adapter);
-        }
+        adopt(agent, *adapter);
     }
     if (changed) {
         agent->slots_version++;
--- a/programs/coriandermoor-agent/orders.h
+++ b/programs/coriandermoor-agent/orders.h
@@ -22,6 +22,14 @@
 void
 Orders_Evict(struct agent *agent, struct cm_slot *slot, const char *reason);
 
+/// Runs that this agent does not know of may use the adapter.
+void
+Orders_MarkForeign(struct agent *agent, const char *adapter);
+
+/// Finds out whether such runs are over; every few milliseconds.
+void
+Orders_CheckForeign(struct agent *agent);
+
 /// Compares the slots with what the engine holds.
 void
 Orders_Reconcile(struct agent *agent);
--- a/programs/coriandermoor-agent/peers.c
+++ b/programs/coriandermoor-agent/peers.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "jobs.h"
 
 /// Silence after which an entry is forgotten altogether.
 #define FORGET_MS 60000
@@ -97,6 +98,31 @@
     g_free(report->slots);
 }
 
+static bool
+is_lost(const struct agent *agent, const struct peer *peer)
+{
+    return CmTime_DiffMs(Agent_Now(agent), peer->heard) > CM_PEER_LOST_MS;
+}
+
+/// The instance list, read by any entry that is there, says that this
+/// instance leaves: what has not started goes elsewhere.
+static void
+update_listed_leaving(struct agent *agent)
+{
+    bool listed = false;
+    const struct peer *peer;
+    CmList_FOREACH (peer, &agent->peers, link) {
+        listed |= peer->says_leaving && !is_lost(agent, peer);
+    }
+    bool news = listed && !agent->listed_leaving;
+    agent->listed_leaving = listed;
+    if (news) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "peers", NULL,
+                    "the instance list says that this instance leaves");
+        Jobs_RefuseWaiting(agent, CM_REASON_LEAVING);
+    }
+}
+
 void
 Peers_Hello(struct agent *agent, struct peer *peer,
             const struct cm_msg_hello *hello)
@@ -107,6 +133,8 @@
     peer->heard = Agent_Now(agent);
     peer->revision = hello->revision;
     peer->slots_seen = hello->slots_seen;
+    peer->says_leaving = hello->leaving != 0;
+    update_listed_leaving(agent);
     Peer_Age(agent, peer, hello->sent_ms);
     if (hello->revision > agent->revision) {
         agent->revision = hello->revision;
@@ -118,12 +146,6 @@
     report_to(agent, peer);
 }
 
-static bool
-is_lost(const struct agent *agent, const struct peer *peer)
-{
-    return CmTime_DiffMs(Agent_Now(agent), peer->heard) > CM_PEER_LOST_MS;
-}
-
 const struct peer *
 Peers_PermitHolder(const struct agent *agent)
 {
--- a/programs/coriandermoor-agent/runs.c
+++ b/programs/coriandermoor-agent/runs.c
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "health.h"
 #include "jobs.h"
+#include "orders.h"
 
 #define HEADERS_MAX 64
 #define STATUS_OK 200
@@ -144,9 +145,10 @@
 Run_Cancel(struct job *job)
 {
     CmHttpCall_Cancel(&job->call);
-    if (!job->agent->settings.engine || CmOrder_Active(&job->cancel)) {
+    if (!job->agent->settings.engine || job->releasing) {
         return;
     }
+    job->releasing = true;
     char *lines = g_strdup(job->headers);
     struct cm_http_header headers[HEADERS_MAX];
     size_t n = split_headers(lines, headers, HEADERS_MAX);
@@ -155,6 +157,22 @@
     g_free(lines);
 }
 
+void
+Run_Released(void *context, enum cm_order_end end,
+             const struct cm_order_answer *answer)
+{
+    struct job *job = context;
+    struct agent *agent = job->agent;
+    job->releasing = false;
+    if (end == CM_ORDER_UNSURE || end == CM_ORDER_FAILED) {
+        Orders_MarkForeign(agent, job->adapter);
+    }
+    if (job->base.want != NULL) {
+        CmScheduler_Remove(&agent->scheduler, &job->base, Agent_Now(agent));
+    }
+    Agent_Turn(agent);
+}
+
 void
 Run_UpdateReading(struct job *job)
 {
@@ -374,6 +392,7 @@
             resume(job);
             return;
         }
+        Run_Cancel(job); // it may go on without a reader
         Job_End(job, CM_OUTCOME_UNKNOWN, CM_REASON_TARGET_LOST);
         return;
     }
--- a/programs/coriandermoor-agent/runs.h
+++ b/programs/coriandermoor-agent/runs.h
@@ -11,10 +11,16 @@
 void
 Run_Start(struct job *job);
 
-/// Gives a run up at the target.
+/// Gives a run up at the target. Its adapter stays pinned until the engine
+/// has confirmed that the run is over.
 void
 Run_Cancel(struct job *job);
 
+/// The engine answered a cancel; `context` is the job.
+void
+Run_Released(void *context, enum cm_order_end end,
+             const struct cm_order_answer *answer);
+
 /// Stops or continues reading the answer as its readers keep up.
 void
 Run_UpdateReading(struct job *job);
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -163,6 +163,7 @@
     GHashTable *streams; ///< stream to struct attempt
 
     unsigned ticks;
+    struct timespec last_tick;
     struct event *tick;
     struct event *term;
     struct event *interrupt;
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -23,6 +23,8 @@
 #define POLL_TICKS 50
 #define PREFETCH_TICKS 50
 #define LINGER_MS 200
+/// A gap this long between two ticks means that the process was paused.
+#define PAUSE_MS 300
 #define SOCKETS_MAX 20000
 #define SLOW_MS_PER_S 1000
 
@@ -99,10 +101,29 @@
                     &linger);
 }
 
+/// A jump of the clock between two ticks shows that the process was paused.
+static void
+notice_pause(struct entry *entry)
+{
+    struct timespec now = Entry_Now(entry);
+    struct timespec last = entry->last_tick;
+    entry->last_tick = now;
+    if (last.tv_sec == 0) {
+        return;
+    }
+    int64_t gap_ms = CmTime_DiffMs(now, last);
+    if (gap_ms >= PAUSE_MS) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "entry", NULL,
+                    "was paused for %" PRId64 " ms", gap_ms);
+        Links_ForgivePause(entry, gap_ms);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     struct entry *entry = context;
+    notice_pause(entry);
     CmMembers_Tick(&entry->members, Entry_Now(entry));
     Links_Tick(entry);
     if (entry->ticks % POLL_TICKS == 0) {
--- a/programs/coriandermoor/links.c
+++ b/programs/coriandermoor/links.c
@@ -42,6 +42,7 @@
     message.hello.revision = entry->revisions.revision;
     message.hello.sent_ms = Links_ClockMs(entry);
     message.hello.slots_seen = link->slots_seen;
+    message.hello.leaving = link->member->leaving_listed;
     link->hello = Entry_Now(entry);
     Link_Send(link, &message);
     entry->count.control_messages.value++;
@@ -351,6 +352,17 @@
     }
 }
 
+void
+Links_ForgivePause(struct entry *entry, int64_t pause_ms)
+{
+    struct agent_link *link;
+    CmList_FOREACH (link, &entry->links, link) {
+        link->heard = CmTime_AddMs(link->heard, pause_ms);
+        struct cm_member *member = link->member;
+        member->heard = CmTime_AddMs(member->heard, pause_ms);
+    }
+}
+
 static bool
 is_idle(const struct agent_link *link, struct timespec now)
 {
--- a/programs/coriandermoor/links.h
+++ b/programs/coriandermoor/links.h
@@ -34,6 +34,11 @@
 void
 Links_Tick(struct entry *entry);
 
+/// This process was paused: what it did not hear meanwhile is no sign of
+/// silence at the other end.
+void
+Links_ForgivePause(struct entry *entry, int64_t pause_ms);
+
 /// @return monotonic milliseconds, as sent in messages.
 uint64_t
 Links_ClockMs(const struct entry *entry);
--- a/testing/loadgen/faults.c
+++ b/testing/loadgen/faults.c
@@ -37,7 +37,7 @@
         .adapters = 300,
         .adapter_prefix = triangel ? "parcel" : "unit",
         .plain_service = triangel ? "transform-app" : "dispatch",
-        .zipf = 1.1,
+        .zipf = 1.5,
         .tokens_min = 4,
         .tokens_max = 60,
         .prompt_bytes = 100,
--- a/testing/standin-engine/engine.c
+++ b/testing/standin-engine/engine.c
@@ -296,6 +296,24 @@
     Run_Flush(run);
 }
 
+/// Ends a run before the answer, so that it uses its adapter no longer.
+static void
+end_run(struct engine *engine, struct engine_run *run)
+{
+    struct engine_run *other;
+    CmTailq_FOREACH (other, &engine->waiting, link) {
+        if (other == run) {
+            TAILQ_REMOVE(&engine->waiting, run, link);
+            TAILQ_INSERT_TAIL(&engine->running, run, link);
+            break;
+        }
+    }
+    if (!run->finished) {
+        run->finished = true;
+        retire(run);
+    }
+}
+
 static void
 cancel(struct engine *engine, struct evhttp_request *request)
 {
@@ -304,7 +322,7 @@
     struct engine_run *run =
         id != NULL ? g_hash_table_lookup(engine->streams, id) : NULL;
     if (run != NULL) {
-        run->finished = true;
+        end_run(engine, run);
     }
     json_decref(body);
     CmHttp_ReplyJson(request, HTTP_OK,
