--- a/testing/loadgen/trace.c
+++ b/testing/loadgen/trace.c
@@ -17,8 +17,8 @@
                 GRand *random)
 {
     popularity->n = n;
-    popularity->cumulative = g_new(double, n);
-    popularity->adapter_of_rank = g_new(int, n);
+    popularity->cumulative = g_new0(double, n);
+    popularity->adapter_of_rank = g_new0(int, n);
     double sum = 0;
     for (int i = 0; i < n; i++) {
         sum += 1 / pow(i + 1, exponent);
