--- a/packages/link/include/link/message_defs.h
+++ b/packages/link/include/link/message_defs.h
@@ -134,8 +134,9 @@
     uint64_t waiting;
     uint64_t capacity; ///< requests that run at once
     uint64_t slot_count;
-    uint64_t load_ms; ///< observed time of one load
-    uint64_t run_ms;  ///< observed time of one run
+    uint64_t load_ms;       ///< observed time that a load is waited for
+    uint64_t eviction_cost; ///< worth of what a load would evict, thousandths
+    uint64_t run_ms;        ///< observed time of one run
     uint64_t slots_version;
     uint64_t slots_included; ///< 0 where the entry knows this version
     struct cm_msg_slot *slots;
--- a/packages/link/src/message.c
+++ b/packages/link/src/message.c
@@ -98,6 +98,7 @@
     NUMBER(struct cm_msg_report, capacity),
     NUMBER(struct cm_msg_report, slot_count),
     NUMBER(struct cm_msg_report, load_ms),
+    NUMBER(struct cm_msg_report, eviction_cost),
     NUMBER(struct cm_msg_report, run_ms),
     NUMBER(struct cm_msg_report, slots_version),
     NUMBER(struct cm_msg_report, slots_included),
@@ -313,13 +314,69 @@
     return frame->via.array.size == layout->n_fields + 2 ? layout : NULL;
 }
 
+/// @return the big-endian number of `size` bytes at `at`.
+static uint64_t
+read_number(const unsigned char *at, size_t size)
+{
+    uint64_t number = 0;
+    for (size_t i = 0; i < size; i++) {
+        number = number << 8 | at[i];
+    }
+    return number;
+}
+
+/// Bytes that follow the first byte of an item; SIZE_MAX for a kind that no
+/// message has. Checks that announced lengths fit into the frame.
+static size_t
+item_tail(const unsigned char *at, size_t left)
+{
+    unsigned char kind = *at;
+    if (kind <= 0x7f || (kind >= 0x90 && kind <= 0x9f)) {
+        return 0; // small number, small array
+    }
+    if (kind >= 0xcc && kind <= 0xcf) {
+        return (size_t)1 << (kind - 0xcc); // number of 1 to 8 bytes
+    }
+    bool bytes = kind >= 0xc4 && kind <= 0xc6;
+    bool array = kind == 0xdc || kind == 0xdd;
+    if (!bytes && !array) {
+        return SIZE_MAX;
+    }
+    size_t width = (size_t)1 << (bytes ? kind - 0xc4 : kind - 0xdc + 1);
+    if (left <= width) {
+        return SIZE_MAX;
+    }
+    uint64_t length = read_number(at + 1, width);
+    if (length > left) {
+        return SIZE_MAX;
+    }
+    return bytes ? width + (size_t)length : width;
+}
+
+/// The library allocates what an array announces before it reads it: a frame
+/// of a few bytes could ask for gigabytes. Walks the items once before.
+static bool
+lengths_fit(const unsigned char *frame, size_t size)
+{
+    size_t offset = 0;
+    while (offset < size) {
+        size_t left = size - offset;
+        size_t tail = item_tail(frame + offset, left);
+        if (tail >= left) {
+            return false;
+        }
+        offset += 1 + tail;
+    }
+    return true;
+}
+
 bool
 CmMessage_Decode(const void *data, size_t size, msgpack_zone *zone,
                  struct cm_message *message)
 {
     msgpack_object frame;
     size_t offset = 0;
-    if (size > CM_FRAME_MAX ||
+    if (size > CM_FRAME_MAX || !lengths_fit(data, size) ||
         msgpack_unpack(data, size, &offset, zone, &frame) !=
             MSGPACK_UNPACK_SUCCESS) {
         return false;
--- a/packages/placement/include/placement/popularity.h
+++ b/packages/placement/include/placement/popularity.h
@@ -8,7 +8,7 @@
 #include <time.h>
 
 /// Half-life of a rate.
-#define CM_POPULARITY_HALF_LIFE_S 30.0
+#define CM_POPULARITY_HALF_LIFE_S 120.0
 /// Adapters remembered; the least popular ones are forgotten beyond it.
 #define CM_POPULARITY_MAX 65536
 
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -88,6 +88,12 @@
 CmScheduler_Prefetch(struct cm_scheduler *scheduler, const char *adapter,
                      struct timespec now);
 
+/// @return how much worth keeping the adapter is that a further load would
+///         evict: 0 with an empty slot, DBL_MAX where nothing can be evicted.
+double
+CmScheduler_EvictionCost(const struct cm_scheduler *scheduler,
+                         struct timespec now);
+
 /// @return how many adapters need a load, and when the most urgent of their
 ///         callers' deadlines is (in `*deadline`).
 size_t
--- a/packages/placement/include/placement/scheduler_defs.h
+++ b/packages/placement/include/placement/scheduler_defs.h
@@ -55,6 +55,7 @@
     bool closing; ///< takes no new jobs, to be evicted when idle
     struct timespec used;
     struct timespec loaded;
+    int64_t stalled_ms; ///< time the adapter was waited for before that
 };
 
 /// All that waits for, or holds, one adapter.
@@ -68,6 +69,7 @@
     bool prefetch;          ///< wanted although nobody waits
     int failures;           ///< failed loads in a row
     struct timespec retry_at;
+    struct timespec needed_at; ///< when a job first waited for the load
 };
 
 /// What is to be done next.
--- a/packages/placement/src/eviction.c
+++ b/packages/placement/src/eviction.c
@@ -6,6 +6,9 @@
 #include "base/clock.h"
 #include "placement/scheduler.h"
 
+/// Weight of recency beside the expected number of uses.
+#define RECENCY_WEIGHT 0.5
+
 /// Least recently used.
 static double
 lru_worth(const struct cm_scheduler *scheduler, const struct cm_slot *slot,
@@ -23,7 +26,7 @@
     double rate =
         CmPopularity_Rate(&scheduler->popularity, slot->want->adapter, now);
     double idle_s = CmTime_DiffS(now, slot->used);
-    return rate * CM_POPULARITY_HALF_LIFE_S + 1 / (1 + idle_s);
+    return rate * CM_POPULARITY_HALF_LIFE_S + RECENCY_WEIGHT / (1 + idle_s);
 }
 
 static const struct cm_eviction_ops policies[] = {
--- a/packages/placement/src/scheduler.c
+++ b/packages/placement/src/scheduler.c
@@ -3,6 +3,7 @@
 
 #include "placement/scheduler.h"
 
+#include <float.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -141,6 +142,9 @@
     }
     bool needed = !TAILQ_EMPTY(&want->jobs) || want->prefetch;
     if (needed && want->slot == NULL) {
+        if (want->needed_at.tv_sec == 0 && !TAILQ_EMPTY(&want->jobs)) {
+            want->needed_at = TAILQ_FIRST(&want->jobs)->arrived;
+        }
         want->waiting = g_sequence_insert_sorted(scheduler->waiting, want,
                                                  compare_wants, NULL);
     }
@@ -526,6 +530,10 @@
         slot->state = CM_SLOT_READY;
         slot->used = now;
         slot->loaded = now;
+        slot->stalled_ms = want->needed_at.tv_sec != 0
+                               ? CmTime_DiffMs(now, want->needed_at)
+                               : 0;
+        want->needed_at = (struct timespec){0};
         want->failures = 0;
         want->prefetch = false;
         return;
@@ -649,6 +657,18 @@
     }
 }
 
+double
+CmScheduler_EvictionCost(const struct cm_scheduler *scheduler,
+                         struct timespec now)
+{
+    if (empty_slot(scheduler) != NULL) {
+        return 0;
+    }
+    const struct cm_slot *slot = cheapest_slot(scheduler, false, now);
+    return slot != NULL ? scheduler->eviction->worth(scheduler, slot, now)
+                        : DBL_MAX;
+}
+
 size_t
 CmScheduler_LoadsWanted(const struct cm_scheduler *scheduler,
                         struct timespec *deadline)
--- a/packages/placement/tests/permits_test.c
+++ b/packages/placement/tests/permits_test.c
@@ -9,6 +9,9 @@
 #include "cm_test.h"
 #include "placement/popularity.h"
 
+/// Requests at ten a second until a rate has settled: ten half-lives.
+#define DECAY_REQUESTS ((int)(CM_POPULARITY_HALF_LIFE_S * 100))
+
 static void
 test_rate_and_concurrency(void)
 {
@@ -110,7 +113,7 @@
     struct cm_manual_clock clock;
     CmManualClock_Init(&clock);
     CmPopularity_Init(&popularity);
-    for (int i = 0; i < 3000; i++) {
+    for (int i = 0; i < DECAY_REQUESTS; i++) {
         CmPopularity_Count(&popularity, "a", clock.now);
         CmManualClock_Advance(&clock, 100);
     }
--- a/packages/routing/include/routing/router_defs.h
+++ b/packages/routing/include/routing/router_defs.h
@@ -45,6 +45,7 @@
     uint64_t slot_count;
     double load_ms;
     double run_ms;
+    double eviction_cost; ///< expected uses of what a load would evict
     uint64_t loading;     ///< slots that load by the last report
     uint64_t outstanding; ///< sent by this entry and not ended
     uint64_t unseen;      ///< sent since the last report
--- a/packages/routing/src/policy.c
+++ b/packages/routing/src/policy.c
@@ -15,7 +15,11 @@
 /// A load that is under way is expected to be half through.
 #define LOADING_LEFT 0.5
 /// Preference for an earlier home, as a part of one load's time.
-#define HOME_STEP 0.5
+#define HOME_STEP 0.1
+/// Time of one load at full speed.
+#define LOAD_MS 250.0
+/// Expected uses of an evicted adapter beyond which more do not count.
+#define EVICTION_USES_MAX 20.0
 /// Smallest share of its capacity that a returning target is given.
 #define RAMP_START 0.1
 
@@ -182,18 +186,30 @@
     }
 }
 
+/// Stalls that callers of the evicted adapter will have.
+static double
+eviction_penalty_ms(const struct cm_route_target *target)
+{
+    double uses = target->eviction_cost;
+    return LOAD_MS * (uses < EVICTION_USES_MAX ? uses : EVICTION_USES_MAX);
+}
+
 static void
 weigh_homes(struct cm_router *router, struct cm_route_service *service,
             struct cm_route_adapter *adapter,
             const struct cm_route_request *request, struct timespec now,
             struct cm_route_decision *decision)
 {
-    size_t n = CmRouter_Homes(router, service, adapter, now);
+    size_t wanted = CmRouter_Homes(router, service, adapter, now);
+    // An adapter that is nowhere may go to any of its homes: to the one that
+    // gives up least for it. One that is somewhere spreads by demand only.
+    size_t n = decision->n_candidates == 0 ? adapter->n_homes : wanted;
     for (size_t i = 0; i < n; i++) {
         struct cm_route_target *home = adapter->homes[i];
         if (is_allowed(request, home, now)) {
-            weigh(router, decision, home, stall_of_miss(home),
-                  (double)i * HOME_STEP * home->load_ms, now);
+            double extra =
+                (double)i * HOME_STEP * LOAD_MS + eviction_penalty_ms(home);
+            weigh(router, decision, home, stall_of_miss(home), extra, now);
         }
     }
 }
--- a/programs/coriandermoor-agent/orders.c
+++ b/programs/coriandermoor-agent/orders.c
@@ -172,7 +172,10 @@
 {
     double ms =
         CmTime_DiffS(Agent_Now(agent), slot_order->started) * CM_MS_PER_S;
-    agent->load_ms += (ms - agent->load_ms) * AVERAGE_WEIGHT;
+    // What callers see includes the wait for a permit and for a slot.
+    double stalled_ms = (double)slot_order->slot->stalled_ms;
+    double seen_ms = stalled_ms > ms ? stalled_ms : ms;
+    agent->load_ms += (seen_ms - agent->load_ms) * AVERAGE_WEIGHT;
     CmLoadPace_Observe(&agent->pace, ms);
 }
 
@@ -194,13 +197,13 @@
     }
     else {
         return_permit_of(agent, slot_order->slot);
+        CmScheduler_Loaded(&agent->scheduler, slot_order->slot, ok, now);
         if (ok) {
             observe_load(agent, slot_order);
         }
         else {
             agent->count.load_failures.value++;
         }
-        CmScheduler_Loaded(&agent->scheduler, slot_order->slot, ok, now);
     }
     if (!ok) {
         Orders_Reconcile(agent);
--- a/programs/coriandermoor-agent/peers.c
+++ b/programs/coriandermoor-agent/peers.c
@@ -12,6 +12,9 @@
 
 /// Silence after which an entry is forgotten altogether.
 #define FORGET_MS 60000
+#define THOUSANDTHS 1000
+/// Reported where nothing can be evicted.
+#define EVICTION_COST_MAX 1000000
 
 static int64_t
 own_ms(const struct agent *agent)
@@ -72,6 +75,16 @@
     report->slots_included = 1;
 }
 
+static uint64_t
+eviction_cost(const struct agent *agent)
+{
+    double cost =
+        CmScheduler_EvictionCost(&agent->scheduler, Agent_Now(agent));
+    return cost < EVICTION_COST_MAX
+               ? (uint64_t)(cost * THOUSANDTHS)
+               : (uint64_t)EVICTION_COST_MAX * THOUSANDTHS;
+}
+
 static void
 report_to(struct agent *agent, struct peer *peer)
 {
@@ -89,6 +102,7 @@
     report->capacity = scheduler->capacity;
     report->slot_count = scheduler->n_slots;
     report->load_ms = (uint64_t)agent->load_ms;
+    report->eviction_cost = eviction_cost(agent);
     report->run_ms = (uint64_t)agent->run_ms;
     report->slots_version = agent->slots_version;
     if (peer->slots_seen != agent->slots_version) {
--- a/programs/coriandermoor/links.c
+++ b/programs/coriandermoor/links.c
@@ -10,6 +10,9 @@
 #include "base/log.h"
 #include "once_flow.h"
 
+/// Unit of the eviction cost in reports.
+#define THOUSANDTHS 1000.0
+
 uint64_t
 Links_ClockMs(const struct entry *entry)
 {
@@ -197,6 +200,7 @@
     route->slot_count = report->slot_count;
     route->load_ms = (double)report->load_ms;
     route->run_ms = (double)report->run_ms;
+    route->eviction_cost = (double)report->eviction_cost / THOUSANDTHS;
     route->unseen = 0;
 }
 
--- a/testing/loadgen/run.c
+++ b/testing/loadgen/run.c
@@ -57,6 +57,19 @@
     return capacity > 0 ? capacity : 1;
 }
 
+/// Figures at the end of the warm-up.
+struct warmup {
+    const struct stack *stack;
+    struct snapshot before;
+};
+
+static void
+on_warm(evutil_socket_t fd, short what, void *context)
+{
+    struct warmup *warmup = context;
+    warmup->before = Command_Snapshot(warmup->stack);
+}
+
 static int
 run_experiment(const struct options *options,
                const struct experiment *experiment, const struct stack *stack)
@@ -66,7 +79,12 @@
     struct event_base *base = event_base_new();
     struct sender sender;
     Sender_Init(&sender, base, experiment, stack, &trace, on_done, base);
-    struct snapshot before = Command_Snapshot(stack);
+    struct warmup warmup = {.stack = stack};
+    struct snapshot start = Command_Snapshot(stack);
+    warmup.before = start;
+    struct timeval delay =
+        CmTime_Timeval((int64_t)(experiment->warmup_s * CM_MS_PER_S));
+    event_base_once(base, -1, EV_TIMEOUT, on_warm, &warmup, &delay);
     Sender_Start(&sender);
     event_base_dispatch(base);
     struct snapshot after = Command_Snapshot(stack);
@@ -79,7 +97,7 @@
         fprintf(stderr, "loadgen: %s\n", error->message);
         g_clear_error(&error);
     }
-    Summary_Write(sender.results, experiment, &before, &after,
+    Summary_Write(sender.results, experiment, &start, &warmup.before, &after,
                   capacity_of(stack), summary);
     bool sound = written;
     for (guint i = 0; i < sender.results->len; i++) {
--- a/testing/loadgen/sender.c
+++ b/testing/loadgen/sender.c
@@ -278,6 +278,7 @@
     result->is_resend = is_resend;
     result->kind = sending->request.kind;
     result->adapter = sending->request.adapter;
+    result->tokens = sending->request.tokens;
     result->at_s = since_start_s(sender);
     result->first_ms = -1;
     result->outcome = RESULT_NONE;
--- a/testing/loadgen/sender.h
+++ b/testing/loadgen/sender.h
@@ -23,6 +23,7 @@
     bool is_resend; ///< sent again under the same key
     enum trace_kind kind;
     int adapter;
+    int tokens;
     double at_s;     ///< sent
     double first_ms; ///< to the first byte of the body, -1 for none
     double total_ms;
--- a/testing/loadgen/summary.c
+++ b/testing/loadgen/summary.c
@@ -23,13 +23,14 @@
                     strerror(errno));
         return false;
     }
-    fprintf(out, "index,resend,kind,adapter,at_s,first_ms,total_ms,status,"
-                 "outcome,wrong,cut,stall_ms,queue_ms\n");
+    fprintf(out,
+            "index,resend,kind,adapter,tokens,at_s,first_ms,total_ms,status,"
+            "outcome,wrong,cut,stall_ms,queue_ms\n");
     for (guint i = 0; i < results->len; i++) {
         const struct result *r = &g_array_index(results, struct result, i);
-        fprintf(out, "%d,%d,%s,%d,%.4f,%.3f,%.3f,%d,%s,%d,%d,%.0f,%.0f\n",
+        fprintf(out, "%d,%d,%s,%d,%d,%.4f,%.3f,%.3f,%d,%s,%d,%d,%.0f,%.0f\n",
                 r->index, r->is_resend, kind_names[r->kind], r->adapter,
-                r->at_s, r->first_ms, r->total_ms, r->status,
+                r->tokens, r->at_s, r->first_ms, r->total_ms, r->status,
                 outcome_names[r->outcome], r->wrong, r->cut, r->stall_ms,
                 r->queue_ms);
     }
@@ -130,8 +131,8 @@
 
 void
 Summary_Write(const GArray *results, const struct experiment *experiment,
-              const struct snapshot *before, const struct snapshot *after,
-              int capacity, const char *path)
+              const struct snapshot *start, const struct snapshot *before,
+              const struct snapshot *after, int capacity, const char *path)
 {
     GArray *stalls = g_array_new(FALSE, FALSE, sizeof(double));
     GArray *queues = g_array_new(FALSE, FALSE, sizeof(double));
@@ -158,12 +159,13 @@
         steps > 0 ? (after->batch_sum - before->batch_sum) / steps / capacity
                   : 0;
     json_t *json = json_pack(
-        "{s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f}", "name",
-        experiment->name, "seed", (json_int_t)experiment->seed, "requests",
-        (int)results->len, "ran", tally.outcomes[RESULT_RAN], "not_run",
-        tally.outcomes[RESULT_NOT_RUN], "unknown",
+        "{s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f,s:f}",
+        "name", experiment->name, "seed", (json_int_t)experiment->seed,
+        "requests", (int)results->len, "ran", tally.outcomes[RESULT_RAN],
+        "not_run", tally.outcomes[RESULT_NOT_RUN], "unknown",
         tally.outcomes[RESULT_UNKNOWN], "none", tally.outcomes[RESULT_NONE],
         "wrong", tally.wrong, "cut", tally.cut, "loads",
+        after->loads - start->loads, "loads_counted",
         after->loads - before->loads, "batch_fill", fill, "evicted_in_use",
         after->evicted_in_use - before->evicted_in_use, "in_transit_peak",
         after->in_transit_peak, "fairness",
--- a/testing/loadgen/summary.h
+++ b/testing/loadgen/summary.h
@@ -19,11 +19,12 @@
 bool
 Summary_WriteCsv(const GArray *results, const char *path, GError **error);
 
-/// Prints the summary and writes it as JSON to `path`.
+/// Prints the summary and writes it as JSON to `path`. Loads and batches are
+/// counted from `before`, the end of the warm-up.
 void
 Summary_Write(const GArray *results, const struct experiment *experiment,
-              const struct snapshot *before, const struct snapshot *after,
-              int capacity, const char *path);
+              const struct snapshot *start, const struct snapshot *before,
+              const struct snapshot *after, int capacity, const char *path);
 
 /// @return the p-th part (0 to 1) of sorted numbers.
 double
