--- a/packages/base/src/counter.c
+++ b/packages/base/src/counter.c
@@ -34,14 +34,21 @@
     add(counters, counter, name, help, true);
 }
 
+void
+CmCounters_WriteOne(GString *out, const char *name, const char *help,
+                    bool gauge, int64_t value)
+{
+    g_string_append_printf(out, "# HELP %s %s\n# TYPE %s %s\n%s %" PRId64 "\n",
+                           name, help, name, gauge ? "gauge" : "counter", name,
+                           value);
+}
+
 void
 CmCounters_Write(const struct cm_counters *counters, GString *out)
 {
-    struct cm_counter *counter;
+    const struct cm_counter *counter;
     CmTailq_FOREACH (counter, &counters->list, link) {
-        g_string_append_printf(
-            out, "# HELP %s %s\n# TYPE %s %s\n%s %" PRId64 "\n", counter->name,
-            counter->help, counter->name, counter->gauge ? "gauge" : "counter",
-            counter->name, counter->value);
+        CmCounters_WriteOne(out, counter->name, counter->help, counter->gauge,
+                            counter->value);
     }
 }
--- a/packages/link/include/link/socket.h
+++ b/packages/link/include/link/socket.h
@@ -28,6 +28,15 @@
 typedef void (*cm_link_receive)(void *context, const struct cm_link_peer *peer,
                                 const struct cm_message *message);
 
+/// What went over one or several sockets.
+struct cm_link_traffic {
+    int64_t sent_messages;
+    int64_t sent_bytes;
+    int64_t received_messages;
+    int64_t received_bytes;
+    int64_t bad_frames; ///< dropped
+};
+
 struct cm_link_socket {
     void *socket;
     bool router;
@@ -35,7 +44,7 @@
     struct event *drain;
     cm_link_receive receive;
     void *context;
-    int64_t *bad_frames; ///< counter of dropped frames, may be NULL
+    struct cm_link_traffic *traffic; ///< counted there; may be NULL
 };
 
 /// Opens a ROUTER bound to `endpoint` (tcp://IP:PORT).
--- a/packages/link/src/socket.c
+++ b/packages/link/src/socket.c
@@ -42,8 +42,8 @@
 static void
 count_bad_frame(struct cm_link_socket *link)
 {
-    if (link->bad_frames != NULL) {
-        (*link->bad_frames)++;
+    if (link->traffic != NULL) {
+        link->traffic->bad_frames++;
     }
 }
 
@@ -51,6 +51,10 @@
 hand_on(struct cm_link_socket *link, const struct cm_link_peer *peer,
         zmq_msg_t *frame)
 {
+    if (link->traffic != NULL) {
+        link->traffic->received_messages++;
+        link->traffic->received_bytes += (int64_t)zmq_msg_size(frame);
+    }
     msgpack_zone zone;
     msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
     struct cm_message message;
@@ -230,6 +234,10 @@
         sent =
             zmq_send(link->socket, frame.data, frame.size, ZMQ_DONTWAIT) >= 0;
     }
+    if (sent && link->traffic != NULL) {
+        link->traffic->sent_messages++;
+        link->traffic->sent_bytes += (int64_t)frame.size;
+    }
     msgpack_sbuffer_destroy(&frame);
     // A send may consume the edge of ZMQ_FD: look for input once more.
     event_active(link->drain, EV_TIMEOUT, 0);
--- a/programs/coriandermoor-agent/admin.c
+++ b/programs/coriandermoor-agent/admin.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include "link/traffic.h"
+
 #define HEADER_MAX_BYTES 16384
 #define BODY_MAX_BYTES 16384
 #define IDLE_TIMEOUT_MS 30000
@@ -38,16 +40,12 @@
                    "Answers resumed on a new connection.");
     CmCounters_Add(set, &count->mismatches, "cm_agent_mismatches_total",
                    "Answers withheld as another adapter's.");
-    CmCounters_Add(set, &count->bad_frames, "cm_agent_bad_frames_total",
-                   "Messages dropped as malformed.");
     CmCounters_AddGauge(set, &count->running, "cm_agent_running",
                         "Requests running at the target.");
     CmCounters_AddGauge(set, &count->waiting, "cm_agent_waiting",
                         "Requests waiting.");
     CmCounters_AddGauge(set, &count->revision, "cm_agent_revision",
                         "Revision of the configuration in force.");
-    CmCounters_Add(set, &count->link_bytes, "cm_agent_link_sent_bytes_total",
-                   "Bytes of messages sent to entries.");
 }
 
 static void
@@ -58,6 +56,7 @@
     if (strcmp(path, "/metrics") == 0) {
         GString *text = g_string_new(NULL);
         CmCounters_Write(&agent->counters, text);
+        CmLinkTraffic_Write(&agent->traffic, text);
         CmHttp_ReplyText(request, HTTP_OK, "text/plain; version=0.0.4",
                          text->str);
         g_string_free(text, TRUE);
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -143,11 +143,9 @@
     struct cm_counter crashes;
     struct cm_counter resumes;
     struct cm_counter mismatches;
-    struct cm_counter bad_frames;
     struct cm_counter running;
     struct cm_counter waiting;
     struct cm_counter revision;
-    struct cm_counter link_bytes;
 };
 
 struct agent {
@@ -156,6 +154,7 @@
     struct cm_clock *clock;
     void *zmq;
     struct cm_link_socket link;
+    struct cm_link_traffic traffic;
     struct cm_http_client client;
     struct cm_engine engine;
     struct evhttp *admin;
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -125,7 +125,7 @@
         break;
     }
     default:
-        agent->count.bad_frames.value++;
+        agent->traffic.bad_frames++;
         break;
     }
 }
@@ -255,7 +255,7 @@
     // Binding its fixed port excludes a second agent beside this target.
     bool ok = CmLink_Bind(&agent->link, agent->zmq, agent->base, endpoint,
                           on_message, agent, error);
-    agent->link.bad_frames = &agent->count.bad_frames.value;
+    agent->link.traffic = &agent->traffic;
     g_free(endpoint);
     return ok && Admin_Listen(agent, error);
 }
--- a/programs/coriandermoor/admin.c
+++ b/programs/coriandermoor/admin.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "link/traffic.h"
 #include "links.h"
 
 #define HEADER_MAX_BYTES 16384
@@ -54,8 +55,6 @@
                    "Answers given again for a known key.");
     CmCounters_Add(set, &count->stall_ms, "cm_entry_stall_milliseconds_total",
                    "Time requests waited at their targets.");
-    CmCounters_Add(set, &count->bad_frames, "cm_entry_bad_frames_total",
-                   "Messages dropped as malformed.");
     CmCounters_Add(set, &count->reconnects, "cm_entry_reconnects_total",
                    "Silent connections replaced.");
     CmCounters_Add(set, &count->control_messages,
@@ -73,16 +72,17 @@
 {
     GString *text = g_string_new(NULL);
     CmCounters_Write(&entry->counters, text);
-    g_string_append_printf(text,
-                           "# TYPE cm_entry_object_reads_total counter\n"
-                           "cm_entry_object_reads_total %" PRId64 "\n"
-                           "# TYPE cm_entry_object_writes_total counter\n"
-                           "cm_entry_object_writes_total %" PRId64 "\n"
-                           "# TYPE cm_entry_claim_conflicts_total counter\n"
-                           "cm_entry_claim_conflicts_total %" PRId64 "\n",
-                           entry->objects.base.reads +
-                               entry->instances.base.reads,
-                           entry->objects.base.writes, entry->once.conflicts);
+    CmLinkTraffic_Write(&entry->traffic, text);
+    CmCounters_WriteOne(
+        text, "cm_entry_object_reads_total",
+        "Reads of the object API and the instance list.", false,
+        entry->objects.base.reads + entry->instances.base.reads);
+    CmCounters_WriteOne(text, "cm_entry_object_writes_total",
+                        "Writes to the object API.", false,
+                        entry->objects.base.writes);
+    CmCounters_WriteOne(text, "cm_entry_claim_conflicts_total",
+                        "Writes of claims that met another entry's.", false,
+                        entry->once.conflicts);
     CmHttp_ReplyText(request, HTTP_OK, "text/plain; version=0.0.4", text->str);
     g_string_free(text, TRUE);
 }
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -109,9 +109,7 @@
     struct cm_counter claims;
     struct cm_counter replays;
     struct cm_counter stall_ms;
-    struct cm_counter bad_frames;
     struct cm_counter reconnects;
-    struct cm_counter control_bytes;
     struct cm_counter control_messages;
     struct cm_counter in_progress;
     struct cm_counter revision;
@@ -161,6 +159,7 @@
 
     TAILQ_HEAD(, exchange) exchanges;
     GHashTable *streams; ///< stream to struct attempt
+    struct cm_link_traffic traffic;
 
     unsigned ticks;
     struct timespec last_tick;
--- a/programs/coriandermoor/links.c
+++ b/programs/coriandermoor/links.c
@@ -67,7 +67,7 @@
         CmLog_Event(G_LOG_LEVEL_WARNING, "links", NULL, "%s", error->message);
         g_clear_error(&error);
     }
-    link->socket.bad_frames = &entry->count.bad_frames.value;
+    link->socket.traffic = &entry->traffic;
     link->opened = Entry_Now(entry);
     link->heard = link->opened;
     link->slots_seen = 0;
@@ -326,7 +326,7 @@
         on_permit(link, &message->permit);
         break;
     default:
-        link->entry->count.bad_frames.value++;
+        link->entry->traffic.bad_frames++;
         break;
     }
 }
