feat(overload): a run needs time to end, not only to start

Cause: at 520 requests/s on four engines (capacity about 190/s) 38.7 of 168 answers a second were unknown: runs started so late that their deadline cut them off, taking room from others.

Change: agent and router leave 0.8 of the average run, at most half of what is left, before the deadline; what cannot start by then is refused as not-run.

--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -14,6 +14,8 @@
 /// Share of an engine's capacity that one adapter fills before it gets a
 /// further home.
 #define HOME_FILL 0.7
+/// Part of the average run that has to be left after the wait.
+#define RUN_ALLOWANCE 0.8
 
 static void
 adapter_free(gpointer data)
@@ -300,6 +302,17 @@
     return wanted < adapter->n_homes ? wanted : adapter->n_homes;
 }
 
+/// Time that the run itself is expected to take, at most half of what is
+/// left: a short request may be far quicker than the average.
+static double
+run_allowance_ms(const struct cm_route_target *target,
+                 const struct cm_route_request *request)
+{
+    double expected_ms = target->run_ms * RUN_ALLOWANCE;
+    double half_ms = (double)request->left_ms / 2;
+    return expected_ms < half_ms ? expected_ms : half_ms;
+}
+
 void
 CmRouter_Pick(struct cm_router *router, struct cm_route_service *service,
               const struct cm_route_request *request, struct timespec now,
@@ -320,7 +333,8 @@
         decision->reason = "no target is left to try";
         return;
     }
-    if (decision->wait_ms > (double)request->left_ms) {
+    if (decision->wait_ms + run_allowance_ms(decision->target, request) >
+        (double)request->left_ms) {
         decision->end = CM_ROUTE_TOO_LATE;
         decision->reason = "the expected wait exceeds the time left";
         return;
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -72,7 +72,10 @@
 
 /// One request.
 struct job {
-    struct cm_job base; ///< the scheduler's part; must come first
+    /// The scheduler's part; must come first. Its deadline is the latest
+    /// time to start, so that the run can end in time.
+    struct cm_job base;
+    struct timespec deadline;
     TAILQ_ENTRY(job) link;
     struct agent *agent;
     enum job_state state;
--- a/programs/coriandermoor-agent/jobs.c
+++ b/programs/coriandermoor-agent/jobs.c
@@ -10,6 +10,9 @@
 #include "peers.h"
 #include "runs.h"
 
+/// Part of the average run that has to be left at the start.
+#define RUN_ALLOWANCE 0.8
+
 void
 Jobs_Init(struct agent *agent)
 {
@@ -194,6 +197,16 @@
     }
 }
 
+/// Time that a run is expected to take: one that would be cut off by its
+/// deadline only takes room from others. At most half of what is left, as a
+/// short request may be far quicker than the average.
+static int64_t
+run_allowance_ms(const struct agent *agent, int64_t left_ms)
+{
+    int64_t expected_ms = (int64_t)(agent->run_ms * RUN_ALLOWANCE);
+    return expected_ms < left_ms / 2 ? expected_ms : left_ms / 2;
+}
+
 void
 Jobs_Submit(struct agent *agent, struct peer *peer,
             const struct cm_msg_submit *submit)
@@ -220,7 +233,9 @@
     fill_job(job, submit);
     job->state = JOB_WAITING;
     job->base.arrived = now;
-    job->base.deadline = CmTime_AddMs(now, left_ms);
+    job->deadline = CmTime_AddMs(now, left_ms);
+    job->base.deadline =
+        CmTime_AddMs(now, left_ms - run_allowance_ms(agent, left_ms));
     add_reader(job, &peer->address, submit->id, 0, submit->window);
     CmScheduler_Add(&agent->scheduler, &job->base, job->adapter, now);
     agent->count.accepted.value++;
--- a/programs/coriandermoor-agent/runs.c
+++ b/programs/coriandermoor-agent/runs.c
@@ -65,7 +65,7 @@
 static int64_t
 time_left_ms(const struct job *job)
 {
-    int64_t left_ms = CmTime_DiffMs(job->base.deadline, Agent_Now(job->agent));
+    int64_t left_ms = CmTime_DiffMs(job->deadline, Agent_Now(job->agent));
     return left_ms > 1 ? left_ms : 1;
 }
 
@@ -361,7 +361,7 @@
 {
     return job->agent->settings.engine && !job->not_loaded &&
            job->resumes < RESUMES_MAX && job->agent->healthy &&
-           CmTime_Before(Agent_Now(job->agent), job->base.deadline);
+           CmTime_Before(Agent_Now(job->agent), job->deadline);
 }
 
 /// Ends the job, after its entry has heard whether the target fell: another
