--- a/packages/link/include/link/socket.h
+++ b/packages/link/include/link/socket.h
@@ -12,9 +12,9 @@
 
 #include "link/message.h"
 
-/// Interval and limit of ZeroMQ's own heartbeats.
-#define CM_LINK_HEARTBEAT_MS 500
-#define CM_LINK_HEARTBEAT_TIMEOUT_MS 1500
+/// Idle time after which TCP looks whether the other end is still there. The
+/// entry's own heartbeats find silence sooner; this frees what is left over.
+#define CM_LINK_KEEPALIVE_S 30
 /// Messages queued per connection before sends are refused.
 #define CM_LINK_HIGH_WATER 10000
 #define CM_LINK_PEER_MAX 64
--- a/packages/link/src/socket.c
+++ b/packages/link/src/socket.c
@@ -141,9 +141,9 @@
     set_option(link->socket, ZMQ_LINGER, 0);
     set_option(link->socket, ZMQ_SNDHWM, CM_LINK_HIGH_WATER);
     set_option(link->socket, ZMQ_RCVHWM, CM_LINK_HIGH_WATER);
-    set_option(link->socket, ZMQ_HEARTBEAT_IVL, CM_LINK_HEARTBEAT_MS);
-    set_option(link->socket, ZMQ_HEARTBEAT_TIMEOUT,
-               CM_LINK_HEARTBEAT_TIMEOUT_MS);
+    // No heartbeats of ZeroMQ's: the messages above it carry their own.
+    set_option(link->socket, ZMQ_TCP_KEEPALIVE, 1);
+    set_option(link->socket, ZMQ_TCP_KEEPALIVE_IDLE, CM_LINK_KEEPALIVE_S);
     set_option(link->socket, ZMQ_RECONNECT_IVL, 50);
     set_option(link->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
 }
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -33,7 +33,7 @@
 /// Interval of heartbeats on up to CM_HELLO_LINKS links; beyond, it grows
 /// with their number, so that an entry's heartbeats cost the same.
 #define CM_HELLO_INTERVAL_MS 500
-#define CM_HELLO_LINKS 64
+#define CM_HELLO_LINKS 32
 /// Silence after which a link gets a new connection.
 #define CM_LINK_SILENT_MS 1500
 /// Time an attempt waits for its link, or for the agent's first word.
@@ -146,7 +146,9 @@
     struct peer_question question;
     struct entry_config *config; ///< NULL before the first revision
     bool listed_once;            ///< the instance list was read
-    size_t entries;              ///< live entries by the instance list
+    size_t list_lines;           ///< of the instance list, at the last read
+    struct timespec list_asked;
+    size_t entries; ///< live entries by the instance list
 
     struct cm_members members;
     LIST_HEAD(, agent_link) links;
--- a/programs/coriandermoor/fleet.c
+++ b/programs/coriandermoor/fleet.c
@@ -8,6 +8,11 @@
 #include "base/log.h"
 #include "links.h"
 
+#define POLL_MIN_MS 900
+/// Share of a line of the list in the time between two reads; keeps them to
+/// some eight kilobytes a second.
+#define POLL_LINE_MS 14
+
 static void
 on_member_changed(void *context, struct cm_member *member)
 {
@@ -55,6 +60,7 @@
         return; // the last list stays: members speak for themselves
     }
     entry->listed_once = true;
+    entry->list_lines = n;
     entry->entries = 0;
     CmMembers_BeginList(&entry->members);
     for (size_t i = 0; i < n; i++) {
@@ -87,9 +93,22 @@
     CmMembers_Finish(&entry->members);
 }
 
+/// The list is read whole: the longer it is, the less often.
+static int64_t
+poll_interval_ms(const struct entry *entry)
+{
+    int64_t interval_ms = (int64_t)entry->list_lines * POLL_LINE_MS;
+    return interval_ms > POLL_MIN_MS ? interval_ms : POLL_MIN_MS;
+}
+
 void
 Fleet_Poll(struct entry *entry)
 {
+    struct timespec now = Entry_Now(entry);
+    if (CmTime_DiffMs(now, entry->list_asked) < poll_interval_ms(entry)) {
+        return;
+    }
+    entry->list_asked = now;
     entry->instances.base.ops->list(&entry->instances.base);
 }
 
