feat(routing): requests spill beyond busy homes

Change: where the best candidate's wait exceeds one load, two random targets are weighed as well, load and eviction included.

--- a/packages/routing/src/policy.c
+++ b/packages/routing/src/policy.c
@@ -20,6 +20,8 @@
 #define LOAD_MS 250.0
 /// Expected uses of an evicted adapter beyond which more do not count.
 #define EVICTION_USES_MAX 20.0
+/// Expected wait, in loads, from which targets that are no home are weighed.
+#define SPILL_LOADS 1.0
 /// Smallest share of its capacity that a returning target is given.
 #define RAMP_START 0.1
 
@@ -138,6 +140,24 @@
     return target->load_ms * (double)(1 + target->loading);
 }
 
+/// Stalls that callers of the evicted adapter will have.
+static double
+eviction_penalty_ms(const struct cm_route_target *target)
+{
+    double uses = target->eviction_cost;
+    return LOAD_MS * (uses < EVICTION_USES_MAX ? uses : EVICTION_USES_MAX);
+}
+
+/// Weighs a target that would have to load the adapter, if there is one.
+static void
+weigh_miss(const struct cm_router *router, struct cm_route_decision *decision,
+           struct cm_route_target *target, bool miss, struct timespec now)
+{
+    double stall_ms = miss ? stall_of_miss(target) : 0;
+    double extra = miss ? eviction_penalty_ms(target) : 0;
+    weigh(router, decision, target, stall_ms, extra, now);
+}
+
 /// Two random targets, and more where those may not be used.
 static void
 weigh_random(struct cm_router *router, struct cm_route_service *service,
@@ -149,16 +169,14 @@
     for (int i = 0; i < 8 && decision->n_candidates < wanted; i++) {
         struct cm_route_target *target = random_target(router, service);
         if (is_allowed(request, target, now)) {
-            double stall_ms = miss ? stall_of_miss(target) : 0;
-            weigh(router, decision, target, stall_ms, 0, now);
+            weigh_miss(router, decision, target, miss, now);
         }
     }
     for (guint i = 0; decision->n_candidates == 0 && i < service->usable->len;
          i++) {
         struct cm_route_target *target = g_ptr_array_index(service->usable, i);
         if (is_allowed(request, target, now)) {
-            double stall_ms = miss ? stall_of_miss(target) : 0;
-            weigh(router, decision, target, stall_ms, 0, now);
+            weigh_miss(router, decision, target, miss, now);
         }
     }
 }
@@ -186,14 +204,6 @@
     }
 }
 
-/// Stalls that callers of the evicted adapter will have.
-static double
-eviction_penalty_ms(const struct cm_route_target *target)
-{
-    double uses = target->eviction_cost;
-    return LOAD_MS * (uses < EVICTION_USES_MAX ? uses : EVICTION_USES_MAX);
-}
-
 static void
 weigh_homes(struct cm_router *router, struct cm_route_service *service,
             struct cm_route_adapter *adapter,
@@ -246,6 +256,12 @@
         weigh_random(router, service, request, now, decision);
     }
     settle(decision, "least expected wait");
+    if (decision->target != NULL &&
+        decision->wait_ms > SPILL_LOADS * decision->target->load_ms) {
+        // Its homes are all busy: two others may do better, load included.
+        weigh_random(router, service, request, now, decision);
+        settle(decision, "least expected wait");
+    }
     if (decision->target != NULL) {
         decision->loads = !holds(adapter, decision->target);
         decision->reason = decision->loads ? "least expected wait, loads"
--- a/packages/routing/tests/routing_test.c
+++ b/packages/routing/tests/routing_test.c
@@ -142,6 +142,26 @@
     bench_finish(&bench);
 }
 
+/// Where all homes are busy, a target that is no home takes the request.
+static void
+test_spills_beyond_homes(void)
+{
+    struct bench bench;
+    bench_init(&bench, "expected-wait");
+    pick(&bench, "a@1", 60000, false);
+    struct cm_route_adapter *adapter = CmRouter_Adapter(bench.service, "a@1");
+    CU_ASSERT_TRUE(adapter->n_homes < TARGETS);
+    for (size_t i = 0; i < adapter->n_homes; i++) {
+        adapter->homes[i]->waiting = 1000;
+        CmRouter_AddHold(adapter->homes[i], "a@1", true);
+    }
+    struct cm_route_decision decision = pick(&bench, "a@1", 60000, false);
+    CU_ASSERT_EQUAL(decision.end, CM_ROUTE_PICKED);
+    CU_ASSERT_EQUAL(decision.target->waiting, 0);
+    CU_ASSERT_TRUE(decision.loads);
+    bench_finish(&bench);
+}
+
 static void
 test_too_late(void)
 {
@@ -364,6 +384,7 @@
     {"tried targets", test_tried_targets},
     {"goes where the adapter is", test_goes_where_adapter_is},
     {"waiters gather", test_waiters_gather},
+    {"spills beyond homes", test_spills_beyond_homes},
     {"too late", test_too_late},
     {"suspects keep apart", test_suspects_keep_apart},
     {"ejection is bounded", test_ejection_is_bounded},
