--- a/packages/config/include/config/settings.h
+++ b/packages/config/include/config/settings.h
@@ -31,7 +31,6 @@
     const char *policy; ///< routing policy
     int64_t header_bytes;
     int64_t body_bytes;
-    int64_t connections;
     int64_t waiting;      ///< requests in progress at once
     int64_t caller_share; ///< of those, most of one caller, percent
     int64_t links;        ///< connections to agents kept open
--- a/packages/link/include/link/message_defs.h
+++ b/packages/link/include/link/message_defs.h
@@ -52,7 +52,6 @@
     CM_REASON_CANCELLED,   ///< the caller went away
     CM_REASON_UNREACHABLE, ///< the target refused the connection
     CM_REASON_STALE,       ///< another incarnation was meant
-    CM_REASON_QUARANTINED, ///< its content crashed targets before
 };
 
 /// Bytes inside a received frame; valid as long as the frame.
--- a/packages/link/src/message.c
+++ b/packages/link/src/message.c
@@ -420,17 +420,10 @@
 const char *
 CmReason_Name(enum cm_reason reason)
 {
-    static const char *const names[] = {"none",
-                                        "target leaving",
-                                        "deadline",
-                                        "queue full",
-                                        "sealed",
-                                        "adapter load failed",
-                                        "target lost",
-                                        "adapter mismatch",
-                                        "cancelled",
-                                        "unreachable",
-                                        "stale incarnation",
-                                        "quarantined content"};
+    static const char *const names[] = {
+        "none",        "target leaving",   "deadline",
+        "queue full",  "sealed",           "adapter load failed",
+        "target lost", "adapter mismatch", "cancelled",
+        "unreachable", "stale incarnation"};
     return reason < G_N_ELEMENTS(names) ? names[reason] : "unspecified";
 }
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -94,8 +94,9 @@
 CmScheduler_EvictionCost(const struct cm_scheduler *scheduler,
                          struct timespec now);
 
-/// @return how many adapters need a load, and when the most urgent of their
-///         callers' deadlines is (in `*deadline`).
+/// @return how many loads could be made now, CM_LOADS_AT_ONCE at most, and
+///         the most urgent of their callers' deadlines (in `*deadline`; zero
+///         where nobody waits).
 size_t
 CmScheduler_LoadsWanted(const struct cm_scheduler *scheduler,
                         struct timespec *deadline);
--- a/packages/placement/src/scheduler.c
+++ b/packages/placement/src/scheduler.c
@@ -457,6 +457,15 @@
     }
 }
 
+/// No slot is empty for it: somebody who waits got there first.
+static void
+give_up_prefetch(struct cm_scheduler *scheduler, struct cm_want *want)
+{
+    want->prefetch = false;
+    update_waiting(scheduler, want);
+    drop_if_unused(scheduler, want);
+}
+
 static struct cm_action
 next_load(struct cm_scheduler *scheduler, struct timespec now)
 {
@@ -467,6 +476,11 @@
     GSequenceIter *iter = g_sequence_get_begin_iter(scheduler->waiting);
     while (!g_sequence_iter_is_end(iter)) {
         struct cm_want *want = g_sequence_get(iter);
+        iter = g_sequence_iter_next(iter);
+        if (TAILQ_EMPTY(&want->jobs) && empty_slot(scheduler) == NULL) {
+            give_up_prefetch(scheduler, want);
+            continue;
+        }
         if (want->failures >= CM_LOAD_FAILURES_MAX &&
             !TAILQ_EMPTY(&want->jobs)) {
             return (struct cm_action){.kind = CM_ACTION_REFUSE_LOAD,
@@ -480,7 +494,6 @@
             // Where this one finds no slot, no later one does either.
             return bring_in(scheduler, want, now);
         }
-        iter = g_sequence_iter_next(iter);
     }
     return no_action();
 }
@@ -669,16 +682,30 @@
                         : DBL_MAX;
 }
 
+/// @return whether the next step towards `want` can be made: a prefetch takes
+///         an empty slot or nothing.
+static bool
+is_wanted_now(const struct cm_scheduler *scheduler, const struct cm_want *want)
+{
+    return !TAILQ_EMPTY(&want->jobs) || empty_slot(scheduler) != NULL;
+}
+
 size_t
 CmScheduler_LoadsWanted(const struct cm_scheduler *scheduler,
                         struct timespec *deadline)
 {
-    size_t count = (size_t)g_sequence_get_length(scheduler->waiting);
-    if (count > 0) {
-        GSequenceIter *first = g_sequence_get_begin_iter(scheduler->waiting);
-        const struct cm_want *want = g_sequence_get(first);
-        const struct cm_job *job = TAILQ_FIRST(&want->jobs);
-        *deadline = job != NULL ? job->deadline : (struct timespec){0};
+    size_t count = 0;
+    GSequenceIter *iter = g_sequence_get_begin_iter(scheduler->waiting);
+    while (!g_sequence_iter_is_end(iter) && count < CM_LOADS_AT_ONCE) {
+        const struct cm_want *want = g_sequence_get(iter);
+        if (!is_wanted_now(scheduler, want)) {
+            break; // prefetches stand last
+        }
+        if (count++ == 0) {
+            const struct cm_job *job = TAILQ_FIRST(&want->jobs);
+            *deadline = job != NULL ? job->deadline : (struct timespec){0};
+        }
+        iter = g_sequence_iter_next(iter);
     }
     return count;
 }
--- a/packages/placement/tests/scheduler_test.c
+++ b/packages/placement/tests/scheduler_test.c
@@ -195,7 +195,11 @@
     bench_init(&bench, "lru", 1, 4);
     end_job(&bench, run_job(&bench, "a@1"));
     CmScheduler_Prefetch(&bench.scheduler, "b@1", bench.clock.now);
+    // No permit is asked for, and none is kept from others.
+    struct timespec deadline;
+    CU_ASSERT_EQUAL(CmScheduler_LoadsWanted(&bench.scheduler, &deadline), 0);
     CU_ASSERT_EQUAL(next(&bench).kind, CM_ACTION_NONE);
+    CU_ASSERT_FALSE(CmScheduler_Holds(&bench.scheduler, "b@1"));
     CmScheduler_Finish(&bench.scheduler);
 }
 
--- a/packages/routing/include/routing/outcome.h
+++ b/packages/routing/include/routing/outcome.h
@@ -28,9 +28,8 @@
 
 struct cm_attempt_state {
     enum cm_attempt_phase phase;
-    bool idempotent;  ///< a second run is harmless
-    bool retry_left;  ///< attempts, budget and time allow another one
-    bool target_only; ///< another target would refuse for the same reason
+    bool idempotent; ///< a second run is harmless
+    bool retry_left; ///< attempts, budget and time allow another one
 };
 
 enum cm_next_step {
--- a/packages/routing/include/routing/quarantine.h
+++ b/packages/routing/include/routing/quarantine.h
@@ -51,12 +51,6 @@
 CmQuarantine_Suspect(const struct cm_quarantine *quarantine,
                      const char *fingerprint, struct timespec now);
 
-/// Puts a content under quarantine that another entry found.
-/// @return whether that is news.
-bool
-CmQuarantine_Add(struct cm_quarantine *quarantine, const char *fingerprint,
-                 struct timespec now);
-
 /// Calls `each` for every refused content.
 void
 CmQuarantine_Each(const struct cm_quarantine *quarantine, struct timespec now,
--- a/packages/routing/src/outcome.c
+++ b/packages/routing/src/outcome.c
@@ -17,8 +17,8 @@
 {
     bool not_run = certainly_not_run(state, event);
     bool may_repeat = not_run || state->idempotent;
-    bool retry = event != CM_ATTEMPT_DEADLINE && may_repeat &&
-                 state->retry_left && !state->target_only;
+    bool retry =
+        event != CM_ATTEMPT_DEADLINE && may_repeat && state->retry_left;
     if (retry) {
         return CM_NEXT_RETRY;
     }
--- a/packages/routing/src/quarantine.c
+++ b/packages/routing/src/quarantine.c
@@ -141,22 +141,6 @@
     return find(quarantine, fingerprint, now) != NULL;
 }
 
-bool
-CmQuarantine_Add(struct cm_quarantine *quarantine, const char *fingerprint,
-                 struct timespec now)
-{
-    struct content *content = find_or_add(quarantine, fingerprint, now);
-    if (content == NULL || content->refused) {
-        return false;
-    }
-    content->refused = true;
-    content->at = now;
-    if (content->last_crash == NULL) {
-        content->last_crash = g_strdup("");
-    }
-    return true;
-}
-
 void
 CmQuarantine_Each(const struct cm_quarantine *quarantine, struct timespec now,
                   void (*each)(void *context, const char *fingerprint),
--- a/packages/routing/tests/routing_test.c
+++ b/packages/routing/tests/routing_test.c
@@ -345,8 +345,8 @@
     CU_ASSERT_TRUE(CmQuarantine_Suspect(&quarantine, "a", clock.now));
     CmQuarantine_Clear(&quarantine, "a");
     CU_ASSERT_FALSE(CmQuarantine_Suspect(&quarantine, "a", clock.now));
-    CU_ASSERT_TRUE(CmQuarantine_Add(&quarantine, "a", clock.now));
-    CU_ASSERT_FALSE(CmQuarantine_Add(&quarantine, "a", clock.now));
+    CmQuarantine_Crash(&quarantine, "c2", content, 1, clock.now);
+    CmQuarantine_Crash(&quarantine, "c3", content, 1, clock.now);
     CmQuarantine_Clear(&quarantine, "a");
     CU_ASSERT_TRUE(CmQuarantine_Refused(&quarantine, "a", clock.now));
     CmManualClock_Advance(&clock, CM_QUARANTINE_MS);
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -124,6 +124,14 @@
     size_t next; ///< peer to be asked next
 };
 
+/// The snapshot of popularity in the object API.
+struct warm_start {
+    struct cm_object_call call;
+    bool read;    ///< the stored one was looked at after the start
+    bool writing; ///< the call under way writes
+    struct timespec looked;
+};
+
 struct entry {
     struct cm_entry_settings settings;
     struct event_base *base;
@@ -144,6 +152,7 @@
     struct cm_http_instances instances;
     struct cm_revisions revisions;
     struct peer_question question;
+    struct warm_start warm;
     struct entry_config *config; ///< NULL before the first revision
     bool listed_once;            ///< the instance list was read
     size_t list_lines;           ///< of the instance list, at the last read
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -18,6 +18,7 @@
 #include "fleet.h"
 #include "links.h"
 #include "peer_state.h"
+#include "warm_start.h"
 
 #define TICK_MS 20
 #define POLL_TICKS 50
@@ -129,9 +130,11 @@
     if (entry->ticks % POLL_TICKS == 0) {
         Fleet_Poll(entry);
         PeerState_Tick(entry);
+        WarmStart_Tick(entry);
     }
     if (entry->ticks % PREFETCH_TICKS == PREFETCH_TICKS / 2) {
         Fleet_Prefetch(entry);
+        WarmStart_Prefetch(entry);
     }
     entry->ticks++;
     check_stop(entry);
@@ -194,6 +197,7 @@
     TAILQ_INIT(&entry->exchanges);
     Fleet_Init(entry);
     PeerState_Init(entry);
+    WarmStart_Init(entry);
     CmRevisions_Init(&entry->revisions, &entry->objects.base, entry->base,
                      on_revision, entry);
     init_events(entry);
@@ -214,6 +218,7 @@
         evhttp_free(entry->admin);
     }
     PeerState_Finish(entry);
+    WarmStart_Finish(entry);
     CmRevisions_Finish(&entry->revisions);
     CmOnce_Finish(&entry->once);
     Fleet_Finish(entry);
--- a/testing/standin-engine/engine.h
+++ b/testing/standin-engine/engine.h
@@ -50,7 +50,6 @@
     GQueue events; ///< text lines of cache events
     uint64_t event_number;
     uint64_t fence;
-    uint64_t generation; ///< counts connections, for `silent`
     char *role;
     bool down;
     double batch_sum; ///< requests in each step, summed
--- a/testing/standin-engine/run.c
+++ b/testing/standin-engine/run.c
@@ -101,7 +101,6 @@
     run->resumable = header(request, "X-Resumable") != NULL;
     run->prefill_steps = prefill_steps(engine, prompt);
     run->output = g_string_new(NULL);
-    run->generation = engine->generation;
     g_free(prompt);
     return run;
 }
@@ -248,6 +247,5 @@
     }
     run->request = request;
     run->silent = false;
-    run->generation = run->engine->generation;
     run->sent = offset < run->output->len ? offset : run->output->len;
 }
--- a/testing/standin-engine/run.h
+++ b/testing/standin-engine/run.h
@@ -23,7 +23,6 @@
     bool silent;     ///< the reader gets nothing more
     GString *output; ///< bytes sent or to be sent
     size_t sent;     ///< offset up to which the reader has them
-    uint64_t generation;
 };
 
 /// Makes a run of a parsed request; NULL where the body is not valid.
