--- a/packages/link/include/link/message_defs.h
+++ b/packages/link/include/link/message_defs.h
@@ -66,6 +66,7 @@
     uint64_t sent_ms;      ///< monotonic time at the entry
     uint64_t slots_seen;   ///< version of the slots known to the entry
     uint64_t leaving;      ///< the instance list says that you leave
+    uint64_t interval_ms;  ///< time to the next heartbeat
 };
 
 struct cm_msg_submit {
--- a/packages/link/src/message.c
+++ b/packages/link/src/message.c
@@ -44,6 +44,7 @@
     NUMBER(struct cm_msg_hello, sent_ms),
     NUMBER(struct cm_msg_hello, slots_seen),
     NUMBER(struct cm_msg_hello, leaving),
+    NUMBER(struct cm_msg_hello, interval_ms),
 };
 static const struct field submit_fields[] = {
     BYTES(struct cm_msg_submit, id),
--- a/packages/link/tests/message_test.c
+++ b/packages/link/tests/message_test.c
@@ -12,7 +12,7 @@
 
 /// One message of each shape.
 static const struct cm_message examples[] = {
-    {.type = CM_MSG_HELLO, .hello = {{"e", 1}, 7, 8, 9, 1}},
+    {.type = CM_MSG_HELLO, .hello = {{"e", 1}, 7, 8, 9, 1, 500}},
     {.type = CM_MSG_SUBMIT,
      .submit = {.id = {"id", 2},
                 .adapter = {"a@1", 3},
--- a/packages/membership/include/membership/members_defs.h
+++ b/packages/membership/include/membership/members_defs.h
@@ -44,6 +44,8 @@
     LIST_HEAD(, cm_member) list;
     GHashTable *by_name;
     uint64_t epoch; ///< grows when the set that may get work changes
+    /// Added to both limits of silence where heartbeats come more slowly.
+    int64_t slack_ms;
     /// Told after each change of a member; may be NULL.
     void (*changed)(void *context, struct cm_member *member);
     void *context;
--- a/packages/membership/src/members.c
+++ b/packages/membership/src/members.c
@@ -13,6 +13,7 @@
     LIST_INIT(&members->list);
     members->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     members->epoch = 1;
+    members->slack_ms = 0;
     members->changed = NULL;
     members->context = NULL;
 }
@@ -123,7 +124,8 @@
 {
     struct cm_member *member;
     CmList_FOREACH (member, &members->list, link) {
-        int64_t silent_ms = CmTime_DiffMs(now, member->heard);
+        int64_t silent_ms =
+            CmTime_DiffMs(now, member->heard) - members->slack_ms;
         if (member->state == CM_MEMBER_LIVE &&
             silent_ms >= CM_MEMBER_SUSPECT_MS) {
             member->state = CM_MEMBER_SUSPECT;
--- a/packages/membership/tests/members_test.c
+++ b/packages/membership/tests/members_test.c
@@ -152,9 +152,31 @@
     CmMembers_Finish(&members);
 }
 
+/// With many links heartbeats come more slowly: that is no silence.
+static void
+test_slow_heartbeats(void)
+{
+    struct cm_members members;
+    struct cm_manual_clock clock;
+    CmMembers_Init(&members);
+    CmManualClock_Init(&clock);
+    members.slack_ms = 3000;
+    struct cm_member *member =
+        CmMembers_Listed(&members, "t", "1.1.1.1:1", "z", false);
+    CmMembers_Heard(&members, member, 1, false, clock.now);
+    CmManualClock_Advance(&clock, CM_MEMBER_SUSPECT_MS + 2999);
+    CmMembers_Tick(&members, clock.now);
+    CU_ASSERT_EQUAL(member->state, CM_MEMBER_LIVE);
+    CmManualClock_Advance(&clock, 1);
+    CmMembers_Tick(&members, clock.now);
+    CU_ASSERT_EQUAL(member->state, CM_MEMBER_SUSPECT);
+    CmMembers_Finish(&members);
+}
+
 static const struct cm_test tests[] = {
     {"histories", test_histories},
     {"new incarnation", test_new_incarnation},
+    {"slow heartbeats", test_slow_heartbeats},
 };
 
 CM_TEST_MAIN("members", tests)
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -21,10 +21,12 @@
 
 /// Time after which the answer of a finished request is dropped.
 #define CM_JOB_KEPT_MS 10000
-/// Time for which the id of a request is known after its end, so that it
-/// never starts again; longer than any deadline. Answers kept for a resend
-/// stay as long.
+/// Time for which sealed ids, and requests kept for a resend, are known after
+/// their end, so that they never start again; longer than any deadline.
 #define CM_JOB_RETAINED_MS 660000
+/// Time beyond its deadline for which the id of any other request is known:
+/// its entry does not send it again after that.
+#define CM_JOB_AFTER_DEADLINE_MS 5000
 /// Bytes of one answer kept for later readers.
 #define CM_ANSWER_RETAINED_MAX (1024 * 1024)
 /// Bytes of one answer that wait for the slowest reader before the agent
@@ -35,8 +37,8 @@
 /// Silence of an engine's stream after which it is resumed on a new
 /// connection.
 #define CM_ENGINE_SILENCE_MS 2000
-/// Silence of an entry after which it no longer counts as there.
-#define CM_PEER_LOST_MS 2000
+/// Heartbeats that an entry misses before it no longer counts as there.
+#define CM_PEER_MISSED_MAX 4
 
 /// One entry that sends heartbeats.
 struct peer {
@@ -47,7 +49,8 @@
     int64_t least_offset_ms; ///< smallest seen of own time minus its time
     uint64_t revision;
     uint64_t slots_seen;
-    bool says_leaving; ///< the instance list, as the entry reads it
+    int64_t interval_ms; ///< of its heartbeats
+    bool says_leaving;   ///< the instance list, as the entry reads it
 };
 
 /// One entry's claim to an answer.
--- a/programs/coriandermoor-agent/jobs.c
+++ b/programs/coriandermoor-agent/jobs.c
@@ -488,6 +488,8 @@
     if (job->answer->allocated_len > 1 || job->headers != NULL) {
         g_string_free(job->answer, TRUE);
         job->answer = g_string_sized_new(0);
+        g_string_free(job->body, TRUE);
+        job->body = g_string_sized_new(0);
         g_clear_pointer(&job->head, g_free);
         g_clear_pointer(&job->headers, g_free);
         g_clear_pointer(&job->path, g_free);
@@ -495,6 +497,16 @@
     }
 }
 
+static bool
+is_forgotten(const struct job *job, int64_t age_ms)
+{
+    if (job->retain || job->state == JOB_SEALED) {
+        return age_ms >= CM_JOB_RETAINED_MS;
+    }
+    int64_t late_ms = CmTime_DiffMs(Agent_Now(job->agent), job->deadline);
+    return age_ms >= CM_JOB_KEPT_MS && late_ms >= CM_JOB_AFTER_DEADLINE_MS;
+}
+
 void
 Jobs_Expire(struct agent *agent)
 {
@@ -509,7 +521,7 @@
         if (job->releasing) {
             continue;
         }
-        if (age_ms >= CM_JOB_RETAINED_MS) {
+        if (is_forgotten(job, age_ms)) {
             job_free(job);
         }
         else if (age_ms >= CM_JOB_KEPT_MS && !job->retain) {
--- a/programs/coriandermoor-agent/peers.c
+++ b/programs/coriandermoor-agent/peers.c
@@ -12,6 +12,8 @@
 
 /// Silence after which an entry is forgotten altogether.
 #define FORGET_MS 60000
+/// Longest interval of heartbeats that is believed.
+#define INTERVAL_MAX_MS 60000
 #define THOUSANDTHS 1000
 /// Reported where nothing can be evicted.
 #define EVICTION_COST_MAX 1000000
@@ -115,7 +117,8 @@
 static bool
 is_lost(const struct agent *agent, const struct peer *peer)
 {
-    return CmTime_DiffMs(Agent_Now(agent), peer->heard) > CM_PEER_LOST_MS;
+    return CmTime_DiffMs(Agent_Now(agent), peer->heard) >
+           peer->interval_ms * CM_PEER_MISSED_MAX;
 }
 
 /// The instance list, read by any entry that is there, says that this
@@ -147,6 +150,9 @@
     peer->heard = Agent_Now(agent);
     peer->revision = hello->revision;
     peer->slots_seen = hello->slots_seen;
+    peer->interval_ms = hello->interval_ms < INTERVAL_MAX_MS
+                            ? (int64_t)hello->interval_ms
+                            : INTERVAL_MAX_MS;
     peer->says_leaving = hello->leaving != 0;
     update_listed_leaving(agent);
     Peer_Age(agent, peer, hello->sent_ms);
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -33,7 +33,7 @@
 /// Interval of heartbeats on up to CM_HELLO_LINKS links; beyond, it grows
 /// with their number, so that an entry's heartbeats cost the same.
 #define CM_HELLO_INTERVAL_MS 500
-#define CM_HELLO_LINKS 32
+#define CM_HELLO_LINKS 24
 /// Silence after which a link gets a new connection.
 #define CM_LINK_SILENT_MS 1500
 /// Time an attempt waits for its link, or for the agent's first word.
@@ -129,6 +129,7 @@
     struct cm_object_call call;
     bool read;    ///< the stored one was looked at after the start
     bool writing; ///< the call under way writes
+    size_t lines; ///< adapters in the stored one, when last read
     struct timespec looked;
 };
 
--- a/programs/coriandermoor/links.c
+++ b/programs/coriandermoor/links.c
@@ -36,6 +36,14 @@
     return link;
 }
 
+static int64_t
+hello_interval_ms(const struct entry *entry)
+{
+    int64_t links = entry->count.links.value;
+    int64_t factor = (links + CM_HELLO_LINKS - 1) / CM_HELLO_LINKS;
+    return CM_HELLO_INTERVAL_MS * (factor > 1 ? factor : 1);
+}
+
 static void
 send_hello(struct agent_link *link)
 {
@@ -46,6 +54,7 @@
     message.hello.sent_ms = Links_ClockMs(entry);
     message.hello.slots_seen = link->slots_seen;
     message.hello.leaving = link->member->leaving_listed;
+    message.hello.interval_ms = (uint64_t)hello_interval_ms(entry);
     link->hello = Entry_Now(entry);
     Link_Send(link, &message);
     entry->count.control_messages.value++;
@@ -331,14 +340,6 @@
     }
 }
 
-static int64_t
-hello_interval_ms(const struct entry *entry)
-{
-    int64_t links = entry->count.links.value;
-    int64_t factor = (links + CM_HELLO_LINKS - 1) / CM_HELLO_LINKS;
-    return CM_HELLO_INTERVAL_MS * (factor > 1 ? factor : 1);
-}
-
 /// A connection that went silent is replaced; requests go on over the new
 /// one, from where their answers stopped.
 static void
@@ -420,6 +421,7 @@
 {
     struct timespec now = Entry_Now(entry);
     int64_t interval_ms = hello_interval_ms(entry);
+    entry->members.slack_ms = interval_ms - CM_HELLO_INTERVAL_MS;
     struct agent_link *link;
     CmList_FOREACH (link, &entry->links, link) {
         keep_within_limit(link, now);
--- a/programs/coriandermoor/warm_start.c
+++ b/programs/coriandermoor/warm_start.c
@@ -14,7 +14,9 @@
 /// Age of the stored snapshot from which an entry writes a new one.
 #define SNAPSHOT_AGE_MS 60000
 /// Time between two looks at the stored one.
-#define LOOK_MS 20000
+#define LOOK_MIN_MS 20000
+/// Share of an adapter in the time between two looks, as each one reads all.
+#define LOOK_ADAPTER_MS 15
 /// Prefetches an entry sends at most in one turn.
 #define PREFETCHES_MAX 16
 /// Least rate of an adapter that is fetched ahead, requests a second.
@@ -95,6 +97,19 @@
     json_decref(object);
 }
 
+static size_t
+count_adapters(const json_t *spec)
+{
+    size_t count = 0;
+    const char *name;
+    json_t *rates;
+    json_object_foreach(json_object_get(spec, "services"), name, rates)
+    {
+        count += json_array_size(rates);
+    }
+    return count;
+}
+
 static void
 on_answer(void *context, enum cm_object_result result, json_t *object)
 {
@@ -108,6 +123,7 @@
         return;
     }
     const json_t *spec = CmObject_Spec(object);
+    warm->lines = count_adapters(spec);
     bool first = !warm->read;
     warm->read = true;
     if (first) {
@@ -136,13 +152,20 @@
     CmObjectCall_Finish(&entry->objects.base, &entry->warm.call);
 }
 
+static int64_t
+look_interval_ms(const struct warm_start *warm)
+{
+    int64_t interval_ms = (int64_t)warm->lines * LOOK_ADAPTER_MS;
+    return interval_ms > LOOK_MIN_MS ? interval_ms : LOOK_MIN_MS;
+}
+
 void
 WarmStart_Tick(struct entry *entry)
 {
     struct warm_start *warm = &entry->warm;
     struct timespec now = Entry_Now(entry);
     int64_t since_ms = CmTime_DiffMs(now, warm->looked);
-    bool due = !warm->read || since_ms >= LOOK_MS;
+    bool due = !warm->read || since_ms >= look_interval_ms(warm);
     if (!due || warm->call.active || !entry->listed_once) {
         return;
     }
