--- a/packages/placement/src/scheduler.c
+++ b/packages/placement/src/scheduler.c
@@ -3,10 +3,10 @@
 
 #include "placement/scheduler.h"
 
-#include <float.h>
 #include <string.h>
 
 #include "base/clock.h"
+#include "scheduler_internal.h"
 
 static int
 compare_times(struct timespec a, struct timespec b)
@@ -99,8 +99,8 @@
     g_free(scheduler->slots);
 }
 
-static struct cm_want *
-find_want(struct cm_scheduler *scheduler, const char *adapter)
+struct cm_want *
+CmWant_Find(struct cm_scheduler *scheduler, const char *adapter)
 {
     if (scheduler->plain != NULL) {
         return scheduler->plain;
@@ -113,9 +113,8 @@
     return want;
 }
 
-/// Frees a want that nothing refers to any more.
-static void
-drop_if_unused(struct cm_scheduler *scheduler, struct cm_want *want)
+void
+CmWant_DropIfUnused(struct cm_scheduler *scheduler, struct cm_want *want)
 {
     if (want == scheduler->plain || want->slot != NULL || want->running > 0 ||
         want->waiting != NULL || !TAILQ_EMPTY(&want->jobs)) {
@@ -129,9 +128,8 @@
     g_hash_table_remove(scheduler->wants, want->adapter);
 }
 
-/// Keeps the want's place among those that need a load.
-static void
-update_waiting(struct cm_scheduler *scheduler, struct cm_want *want)
+void
+CmWant_UpdateWaiting(struct cm_scheduler *scheduler, struct cm_want *want)
 {
     if (want == scheduler->plain) {
         return;
@@ -181,14 +179,14 @@
 CmScheduler_Add(struct cm_scheduler *scheduler, struct cm_job *job,
                 const char *adapter, struct timespec now)
 {
-    struct cm_want *want = find_want(scheduler, adapter);
+    struct cm_want *want = CmWant_Find(scheduler, adapter);
     job->want = want;
     job->running = false;
     insert_job(scheduler, want, job);
     if (want != scheduler->plain) {
         CmPopularity_Count(&scheduler->popularity, adapter, now);
     }
-    update_waiting(scheduler, want);
+    CmWant_UpdateWaiting(scheduler, want);
 }
 
 static void
@@ -219,8 +217,8 @@
         take_out_job(scheduler, job);
     }
     job->want = NULL;
-    update_waiting(scheduler, want);
-    drop_if_unused(scheduler, want);
+    CmWant_UpdateWaiting(scheduler, want);
+    CmWant_DropIfUnused(scheduler, want);
 }
 
 void
@@ -229,7 +227,7 @@
 {
     release_pin(scheduler, job, now);
     insert_job(scheduler, job->want, job);
-    update_waiting(scheduler, job->want);
+    CmWant_UpdateWaiting(scheduler, job->want);
 }
 
 static struct cm_action
@@ -291,8 +289,8 @@
     return (struct cm_action){.kind = CM_ACTION_REFUSE_DEADLINE, .job = job};
 }
 
-static struct cm_slot *
-empty_slot(const struct cm_scheduler *scheduler)
+struct cm_slot *
+CmSlots_FindEmpty(const struct cm_scheduler *scheduler)
 {
     for (size_t i = 0; i < scheduler->n_slots; i++) {
         struct cm_slot *slot = &scheduler->slots[i];
@@ -303,11 +301,9 @@
     return NULL;
 }
 
-/// @return the ready slot of least worth among those that are idle (or, with
-///         `busy`, among those still serving), or NULL.
-static struct cm_slot *
-cheapest_slot(const struct cm_scheduler *scheduler, bool busy,
-              struct timespec now)
+struct cm_slot *
+CmSlots_FindCheapest(const struct cm_scheduler *scheduler, bool busy,
+                     struct timespec now)
 {
     struct cm_slot *cheapest = NULL;
     double least = 0;
@@ -344,7 +340,7 @@
     if (scheduler->permits > 0) {
         scheduler->permits--;
     }
-    update_waiting(scheduler, want);
+    CmWant_UpdateWaiting(scheduler, want);
     return (struct cm_action){
         .kind = CM_ACTION_LOAD, .slot = slot, .reason = "caller waits"};
 }
@@ -389,7 +385,7 @@
             return; // one slot at a time, and one is on its way already
         }
     }
-    struct cm_slot *slot = cheapest_slot(scheduler, true, now);
+    struct cm_slot *slot = CmSlots_FindCheapest(scheduler, true, now);
     if (slot != NULL) {
         slot->closing = true;
     }
@@ -400,14 +396,14 @@
 bring_in(struct cm_scheduler *scheduler, struct cm_want *want,
          struct timespec now)
 {
-    struct cm_slot *slot = empty_slot(scheduler);
+    struct cm_slot *slot = CmSlots_FindEmpty(scheduler);
     if (slot != NULL) {
         return load_into(scheduler, slot, want);
     }
     if (TAILQ_EMPTY(&want->jobs)) {
         return no_action(); // a prefetch never evicts
     }
-    slot = cheapest_slot(scheduler, false, now);
+    slot = CmSlots_FindCheapest(scheduler, false, now);
     if (slot != NULL) {
         return evict_for(slot, want);
     }
@@ -440,7 +436,7 @@
             return load_into(scheduler, slot, want);
         }
         slot->next = NULL; // its callers have gone meanwhile
-        drop_if_unused(scheduler, want);
+        CmWant_DropIfUnused(scheduler, want);
     }
     return no_action();
 }
@@ -462,8 +458,8 @@
 give_up_prefetch(struct cm_scheduler *scheduler, struct cm_want *want)
 {
     want->prefetch = false;
-    update_waiting(scheduler, want);
-    drop_if_unused(scheduler, want);
+    CmWant_UpdateWaiting(scheduler, want);
+    CmWant_DropIfUnused(scheduler, want);
 }
 
 static struct cm_action
@@ -477,7 +473,7 @@
     while (!g_sequence_iter_is_end(iter)) {
         struct cm_want *want = g_sequence_get(iter);
         iter = g_sequence_iter_next(iter);
-        if (TAILQ_EMPTY(&want->jobs) && empty_slot(scheduler) == NULL) {
+        if (TAILQ_EMPTY(&want->jobs) && CmSlots_FindEmpty(scheduler) == NULL) {
             give_up_prefetch(scheduler, want);
             continue;
         }
@@ -515,9 +511,8 @@
     return next_load(scheduler, now);
 }
 
-/// Empties a slot and lets its adapter wait again where it is still wanted.
-static void
-clear_slot(struct cm_scheduler *scheduler, struct cm_slot *slot)
+void
+CmSlot_Clear(struct cm_scheduler *scheduler, struct cm_slot *slot)
 {
     struct cm_want *want = slot->want;
     slot->state = CM_SLOT_EMPTY;
@@ -528,8 +523,8 @@
     slot->closing = false;
     if (want != NULL) {
         want->slot = NULL;
-        update_waiting(scheduler, want);
-        drop_if_unused(scheduler, want);
+        CmWant_UpdateWaiting(scheduler, want);
+        CmWant_DropIfUnused(scheduler, want);
     }
 }
 
@@ -556,7 +551,7 @@
     if (want->failures >= CM_LOAD_FAILURES_MAX) {
         want->prefetch = false;
     }
-    clear_slot(scheduler, slot);
+    CmSlot_Clear(scheduler, slot);
 }
 
 void
@@ -564,148 +559,10 @@
                     bool ok, struct timespec now)
 {
     if (ok) {
-        clear_slot(scheduler, slot);
+        CmSlot_Clear(scheduler, slot);
         return;
     }
     slot->state = CM_SLOT_READY;
     slot->next = NULL;
     slot->used = now;
 }
-
-void
-CmScheduler_Lost(struct cm_scheduler *scheduler, const char *adapter)
-{
-    struct cm_want *want = g_hash_table_lookup(scheduler->wants, adapter);
-    if (want == NULL || want->slot == NULL ||
-        want->slot->state != CM_SLOT_READY) {
-        return;
-    }
-    if (want->slot->pins == 0) {
-        clear_slot(scheduler, want->slot);
-    }
-    else {
-        want->slot->closing = true;
-    }
-}
-
-bool
-CmScheduler_Holds(const struct cm_scheduler *scheduler, const char *adapter)
-{
-    const struct cm_want *want =
-        g_hash_table_lookup(scheduler->wants, adapter);
-    return want != NULL && want->slot != NULL;
-}
-
-bool
-CmScheduler_Adopt(struct cm_scheduler *scheduler, const char *adapter,
-                  struct timespec now)
-{
-    struct cm_slot *slot = empty_slot(scheduler);
-    struct cm_want *want = find_want(scheduler, adapter);
-    if (slot == NULL || want->slot != NULL) {
-        bool held = want->slot != NULL;
-        drop_if_unused(scheduler, want);
-        return held;
-    }
-    slot->state = CM_SLOT_READY;
-    slot->want = want;
-    slot->used = now;
-    slot->loaded = now;
-    want->slot = slot;
-    update_waiting(scheduler, want);
-    return true;
-}
-
-void
-CmScheduler_MarkForeign(struct cm_scheduler *scheduler, const char *adapter)
-{
-    struct cm_want *want = g_hash_table_lookup(scheduler->wants, adapter);
-    if (want != NULL && want->slot != NULL) {
-        want->slot->foreign = true;
-    }
-}
-
-void
-CmScheduler_ClearForeign(struct cm_scheduler *scheduler)
-{
-    for (size_t i = 0; i < scheduler->n_slots; i++) {
-        scheduler->slots[i].foreign = false;
-    }
-}
-
-bool
-CmScheduler_AnyForeign(const struct cm_scheduler *scheduler)
-{
-    for (size_t i = 0; i < scheduler->n_slots; i++) {
-        if (scheduler->slots[i].foreign) {
-            return true;
-        }
-    }
-    return false;
-}
-
-void
-CmScheduler_Reset(struct cm_scheduler *scheduler)
-{
-    for (size_t i = 0; i < scheduler->n_slots; i++) {
-        struct cm_slot *slot = &scheduler->slots[i];
-        // Loads and evictions under way end by their own answers.
-        if (slot->state == CM_SLOT_READY) {
-            clear_slot(scheduler, slot);
-        }
-    }
-}
-
-void
-CmScheduler_Prefetch(struct cm_scheduler *scheduler, const char *adapter,
-                     struct timespec now)
-{
-    if (scheduler->plain != NULL) {
-        return;
-    }
-    struct cm_want *want = find_want(scheduler, adapter);
-    if (want->slot == NULL) {
-        want->prefetch = true;
-        update_waiting(scheduler, want);
-    }
-}
-
-double
-CmScheduler_EvictionCost(const struct cm_scheduler *scheduler,
-                         struct timespec now)
-{
-    if (empty_slot(scheduler) != NULL) {
-        return 0;
-    }
-    const struct cm_slot *slot = cheapest_slot(scheduler, false, now);
-    return slot != NULL ? scheduler->eviction->worth(scheduler, slot, now)
-                        : DBL_MAX;
-}
-
-/// @return whether the next step towards `want` can be made: a prefetch takes
-///         an empty slot or nothing.
-static bool
-is_wanted_now(const struct cm_scheduler *scheduler, const struct cm_want *want)
-{
-    return !TAILQ_EMPTY(&want->jobs) || empty_slot(scheduler) != NULL;
-}
-
-size_t
-CmScheduler_LoadsWanted(const struct cm_scheduler *scheduler,
-                        struct timespec *deadline)
-{
-    size_t count = 0;
-    GSequenceIter *iter = g_sequence_get_begin_iter(scheduler->waiting);
-    while (!g_sequence_iter_is_end(iter) && count < CM_LOADS_AT_ONCE) {
-        const struct cm_want *want = g_sequence_get(iter);
-        if (!is_wanted_now(scheduler, want)) {
-            break; // prefetches stand last
-        }
-        if (count++ == 0) {
-            const struct cm_job *job = TAILQ_FIRST(&want->jobs);
-            *deadline = job != NULL ? job->deadline : (struct timespec){0};
-        }
-        iter = g_sequence_iter_next(iter);
-    }
-    return count;
-}
--- a/packages/revision/src/submit.c
+++ b/packages/revision/src/submit.c
@@ -195,6 +195,17 @@
     write_chunks(submit);
 }
 
+/// @return whether the head that was read holds this very text.
+static bool
+is_in_force(const struct cm_revision_submit *submit)
+{
+    const char *stored =
+        json_string_value(json_object_get(submit->previous, "digest"));
+    char digest[CM_DIGEST_SIZE];
+    CmHash_Digest(submit->text, submit->size, digest);
+    return stored != NULL && strcmp(stored, digest) == 0;
+}
+
 /// @return whether the head that was read ends the submission.
 static bool
 ended_by_head(struct cm_revision_submit *submit)
@@ -210,6 +221,10 @@
         end(submit, CM_SUBMIT_CONFLICT, present);
         return true;
     }
+    if (is_in_force(submit)) {
+        accepted(submit, present); // nothing to change, and no new revision
+        return true;
+    }
     return false;
 }
 
--- a/packages/revision/tests/revision_test.c
+++ b/packages/revision/tests/revision_test.c
@@ -232,6 +232,24 @@
     }
 }
 
+/// The text that is in force makes no new revision.
+static void
+test_same_text_again(void)
+{
+    struct bench bench;
+    bench_init(&bench);
+    settle(&bench);
+    struct told told[2] = {{0}};
+    submit(&bench, 0, "text: a\n", 0, &told[0]);
+    settle(&bench);
+    submit(&bench, 0, "text: a\n", 1, &told[1]);
+    settle(&bench);
+    CU_ASSERT_EQUAL(told[1].result, CM_SUBMIT_ACCEPTED);
+    CU_ASSERT_EQUAL(told[1].revision, 1);
+    CU_ASSERT_EQUAL(bench.revisions[0].revision, 1);
+    bench_finish(&bench);
+}
+
 static void
 test_never_goes_back(void)
 {
@@ -310,6 +328,7 @@
     {"small change, small write", test_small_change_small_write},
     {"submit under faults", test_submit_under_faults},
     {"conflicting submits", test_conflicting_submits},
+    {"same text again", test_same_text_again},
     {"never goes back", test_never_goes_back},
     {"damaged heads", test_damaged_heads},
     {"head tokens and garbage", test_head_tokens_and_garbage},
