fix(entry): a hedge without a second target left the first attempt no peace

Cause, found on reading the change once more: the second attempt of a slow lookup that met no second target parked or refused the whole request.

Change: without a place for the hedge the first attempt goes on alone. Ticks copy the list of attempts only where one waits for its agent's first word (it was copied 50 times a second for each link); opening a socket stands once.

--- a/packages/link/src/socket.c
+++ b/packages/link/src/socket.c
@@ -161,6 +161,22 @@
     event_active(link->drain, EV_TIMEOUT, 0);
 }
 
+/// Watches the socket, or closes it where it could not be opened.
+static bool
+finish_open(struct cm_link_socket *link, struct event_base *base, bool ok,
+            const char *what, const char *endpoint, GError **error)
+{
+    if (!ok) {
+        g_set_error(error, CM_ERROR, CM_ERROR_IO, "cannot %s %s: %s", what,
+                    endpoint, zmq_strerror(zmq_errno()));
+        zmq_close(link->socket);
+        link->socket = NULL;
+        return false;
+    }
+    watch_socket(link, base);
+    return true;
+}
+
 bool
 CmLink_Bind(struct cm_link_socket *link, void *zmq_context,
             struct event_base *base, const char *endpoint,
@@ -173,15 +189,8 @@
     int64_t frame_max = CM_FRAME_MAX;
     zmq_setsockopt(link->socket, ZMQ_MAXMSGSIZE, &frame_max,
                    sizeof(frame_max));
-    if (zmq_bind(link->socket, endpoint) != 0) {
-        g_set_error(error, CM_ERROR, CM_ERROR_IO, "cannot bind %s: %s",
-                    endpoint, zmq_strerror(zmq_errno()));
-        zmq_close(link->socket);
-        link->socket = NULL;
-        return false;
-    }
-    watch_socket(link, base);
-    return true;
+    return finish_open(link, base, zmq_bind(link->socket, endpoint) == 0,
+                       "bind", endpoint, error);
 }
 
 bool
@@ -192,15 +201,8 @@
     open_socket(link, zmq_context, ZMQ_DEALER, receive, context);
     set_option(link->socket, ZMQ_IMMEDIATE, 1);
     zmq_setsockopt(link->socket, ZMQ_ROUTING_ID, name, strlen(name));
-    if (zmq_connect(link->socket, endpoint) != 0) {
-        g_set_error(error, CM_ERROR, CM_ERROR_IO, "cannot connect %s: %s",
-                    endpoint, zmq_strerror(zmq_errno()));
-        zmq_close(link->socket);
-        link->socket = NULL;
-        return false;
-    }
-    watch_socket(link, base);
-    return true;
+    return finish_open(link, base, zmq_connect(link->socket, endpoint) == 0,
+                       "connect", endpoint, error);
 }
 
 void
--- a/programs/coriandermoor/exchange.c
+++ b/programs/coriandermoor/exchange.c
@@ -335,6 +335,10 @@
     struct cm_route_decision decision;
     CmRouter_Pick(&entry->router, service, &request, now, &decision);
     log_decision(exchange, &decision);
+    bool under_way = !TAILQ_EMPTY(&exchange->attempts);
+    if (decision.end != CM_ROUTE_PICKED && under_way) {
+        return; // no place for a hedge: the first attempt goes on alone
+    }
     switch (decision.end) {
     case CM_ROUTE_PICKED:
         use_target(exchange, &decision);
--- a/programs/coriandermoor/links.c
+++ b/programs/coriandermoor/links.c
@@ -392,6 +392,20 @@
     }
 }
 
+/// @return whether some attempt still waits for the agent's first word; only
+///         those have anything to do on a tick.
+static bool
+has_unheard_attempt(const struct agent_link *link)
+{
+    const struct attempt *attempt;
+    CmTailq_FOREACH (attempt, &link->attempts, in_link) {
+        if (attempt->phase <= CM_ATTEMPT_SENT) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 tick_attempt(struct attempt *attempt, const void *context)
 {
@@ -433,7 +447,9 @@
             send_hello(link);
         }
         check_silence(link, now, interval_ms);
-        each_attempt(link, tick_attempt, &now);
+        if (has_unheard_attempt(link)) {
+            each_attempt(link, tick_attempt, &now);
+        }
     }
     grant_permits(entry);
 }
