--- a/packages/config/include/config/settings.h
+++ b/packages/config/include/config/settings.h
@@ -53,6 +53,36 @@
     const char *eviction; ///< eviction policy
 };
 
+/// Settings of a gateway: an entry before targets that it reaches directly.
+struct cm_gateway_settings {
+    struct cm_settings common;
+    const char *listen;     ///< IP:PORT for callers
+    const char *ready;      ///< IP:PORT for the balancer's question
+    const char *store;      ///< IP:PORT of the platform's store
+    int64_t agent_port;     ///< of the agents, on their targets' machines
+    double retry_ratio;     ///< repeats allowed for each request
+    int64_t retry_reserve;  ///< repeats allowed besides, of all gateways
+    int64_t retry_window_s; ///< window of both
+    int64_t stop_s;         ///< longest time a planned stop takes
+};
+
+/// Settings of an agent that keeps the adapter slots of one engine.
+struct cm_slots_settings {
+    struct cm_settings common;
+    const char *listen; ///< IP:PORT for gateways
+    const char *engine; ///< IP:PORT of the engine
+};
+
+/// Reads a gateway's settings from `size` bytes of YAML.
+bool
+CmSettings_ReadGateway(struct cm_gateway_settings *settings, const char *text,
+                       size_t size, struct cm_findings *findings);
+
+/// Reads the settings of an agent that keeps slots.
+bool
+CmSettings_ReadSlots(struct cm_slots_settings *settings, const char *text,
+                     size_t size, struct cm_findings *findings);
+
 /// Reads an entry's settings from `size` bytes of YAML.
 /// @return whether they are sound; CmSettings_Finish() is due either way.
 bool
--- a/packages/config/src/settings.c
+++ b/packages/config/src/settings.c
@@ -230,6 +230,80 @@
     CmYaml_Finish(&settings->common.yaml);
 }
 
+struct gateway_text {
+    struct common_text common;
+    struct cm_gateway_settings values;
+};
+
+#define GATEWAY_TEXT(field)                                                   \
+    {                                                                         \
+#field, CM_YAML_TEXT, true,                                           \
+            offsetof(struct gateway_text, values.field), 0, 0                 \
+    }
+#define GATEWAY_NUMBER(field, minimum, maximum)                               \
+    {                                                                         \
+#field, CM_YAML_NUMBER, true,                                         \
+            offsetof(struct gateway_text, values.field), minimum, maximum     \
+    }
+
+bool
+CmSettings_ReadGateway(struct cm_gateway_settings *settings, const char *text,
+                       size_t size, struct cm_findings *findings)
+{
+    static const struct cm_yaml_field fields[] = {
+        COMMON_FIELDS(struct gateway_text),
+        GATEWAY_TEXT(listen),
+        GATEWAY_TEXT(ready),
+        GATEWAY_TEXT(store),
+        GATEWAY_NUMBER(agent_port, 1, 65535),
+        {"retry_ratio", CM_YAML_REAL, true,
+         offsetof(struct gateway_text, values.retry_ratio), 0, 1},
+        GATEWAY_NUMBER(retry_reserve, 0, 1000000),
+        GATEWAY_NUMBER(retry_window_s, 1, 3600),
+        GATEWAY_NUMBER(stop_s, 1, 3600),
+    };
+    struct gateway_text read = {0};
+    struct cm_yaml yaml;
+    CmYaml_Init(&yaml, text, size, findings);
+    if (yaml.root != NULL) {
+        CmYaml_Read(yaml.root, "the settings", fields, G_N_ELEMENTS(fields),
+                    &read, findings);
+    }
+    *settings = read.values;
+    settings->common.yaml = yaml;
+    finish_common(&settings->common, &read.common, findings);
+    return findings->count == 0;
+}
+
+struct slots_text {
+    struct common_text common;
+    struct cm_slots_settings values;
+};
+
+bool
+CmSettings_ReadSlots(struct cm_slots_settings *settings, const char *text,
+                     size_t size, struct cm_findings *findings)
+{
+    static const struct cm_yaml_field fields[] = {
+        COMMON_FIELDS(struct slots_text),
+        {"listen", CM_YAML_TEXT, true,
+         offsetof(struct slots_text, values.listen), 0, 0},
+        {"engine", CM_YAML_TEXT, true,
+         offsetof(struct slots_text, values.engine), 0, 0},
+    };
+    struct slots_text read = {0};
+    struct cm_yaml yaml;
+    CmYaml_Init(&yaml, text, size, findings);
+    if (yaml.root != NULL) {
+        CmYaml_Read(yaml.root, "the settings", fields, G_N_ELEMENTS(fields),
+                    &read, findings);
+    }
+    *settings = read.values;
+    settings->common.yaml = yaml;
+    finish_common(&settings->common, &read.common, findings);
+    return findings->count == 0;
+}
+
 char *
 CmSettings_LoadFile(const char *path, size_t *size, GError **error)
 {
--- /dev/null
+++ b/packages/dispatch/include/dispatch/life.h
@@ -0,0 +1,46 @@
+/// @file life.h
+/// What follows when one attempt of a request ends: pure, one table.
+
+#ifndef DISPATCH_LIFE_H
+#define DISPATCH_LIFE_H
+
+#include "dispatch/catalog_defs.h"
+
+/// Time below which another attempt is not worth its target's work.
+#define CM_RETRY_MIN_LEFT_MS 30
+
+/// How an attempt ended short of a success.
+enum cm_attempt_end {
+    CM_ATTEMPT_UNSENT,   ///< nothing reached the target
+    CM_ATTEMPT_REJECTED, ///< the target says that it did not run it
+    CM_ATTEMPT_FAILED,   ///< the target ran it and answers a failure
+    CM_ATTEMPT_LOST,     ///< broke off or fell silent: may have run
+};
+
+/// What is known of the request.
+struct cm_life {
+    enum cm_repeat repeat;
+    int64_t max_attempts;
+    int64_t runs;    ///< attempts that ran or may have run
+    int64_t left_ms; ///< until the caller gives up
+    bool began;      ///< a part of the answer is on its way to the caller
+};
+
+enum cm_life_step {
+    CM_LIFE_AGAIN,   ///< send it to another target, if the budget allows
+    CM_LIFE_PASS,    ///< pass the target's failure on
+    CM_LIFE_REFUSE,  ///< certainly not run: say so
+    CM_LIFE_UNKNOWN, ///< may have run: promise nothing
+    CM_LIFE_CUT,     ///< break the answer off visibly
+};
+
+/// @return what follows `end`. `life` already counts that attempt.
+enum cm_life_step
+CmLife_After(const struct cm_life *life, enum cm_attempt_end end);
+
+/// @return what follows if the step was CM_LIFE_AGAIN and no further attempt
+/// can be made.
+enum cm_life_step
+CmLife_GiveUp(const struct cm_life *life, enum cm_attempt_end end);
+
+#endif
--- /dev/null
+++ b/packages/dispatch/include/dispatch/pick.h
@@ -0,0 +1,43 @@
+/// @file pick.h
+/// Chooses the target of one attempt.
+
+#ifndef DISPATCH_PICK_H
+#define DISPATCH_PICK_H
+
+#include "dispatch/targets.h"
+
+/// Most targets that one request may try.
+#define CM_TRIED_MAX 6
+
+/// What is to be placed.
+struct cm_pick_request {
+    const char *service;
+    const char *adapter; ///< key, NULL if the request needs none
+    int64_t tokens;      ///< of the prompt
+    struct cm_live_target *const *tried;
+    size_t n_tried;
+};
+
+/// The choice, with what decided it.
+struct cm_pick {
+    struct cm_live_target *target; ///< NULL if there is none
+    bool holds;                    ///< believed to hold the adapter
+    double cost_ms;                ///< expected wait
+    size_t candidates;
+};
+
+/// Chooses a target for a request to a plain service: the least loaded one,
+/// the entry's own zone first among equals.
+void
+CmPick_Plain(const struct cm_targets *targets,
+             const struct cm_pick_request *request, struct timespec now,
+             struct cm_pick *pick);
+
+/// Chooses an engine: expected wait from its load, the load of the adapter
+/// where it is missing, and the way there.
+void
+CmPick_Engine(const struct cm_targets *targets,
+              const struct cm_pick_request *request, struct timespec now,
+              struct cm_pick *pick);
+
+#endif
--- /dev/null
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -0,0 +1,82 @@
+/// @file targets.h
+/// Table of targets, filled from the platform's list.
+
+#ifndef DISPATCH_TARGETS_H
+#define DISPATCH_TARGETS_H
+
+#include "dispatch/target_defs.h"
+
+/// Prepares an empty table.
+void
+CmTargets_Init(struct cm_targets *targets, const char *zone, int agent_port);
+
+/// Frees the table; attempts may still hold targets.
+void
+CmTargets_Finish(struct cm_targets *targets);
+
+/// The list names a target, new or known.
+/// @return the target.
+struct cm_live_target *
+CmTargets_Update(struct cm_targets *targets,
+                 const struct cm_target_info *info);
+
+/// The list no longer names a target.
+void
+CmTargets_Remove(struct cm_targets *targets, const char *id);
+
+/// A whole list follows: CmTargets_Update() for each, then
+/// CmTargets_EndList(), which removes the others.
+void
+CmTargets_BeginList(struct cm_targets *targets);
+
+/// @return how many targets were removed.
+size_t
+CmTargets_EndList(struct cm_targets *targets);
+
+/// @return the target called `id`, or NULL.
+struct cm_live_target *
+CmTargets_Find(const struct cm_targets *targets, const char *id);
+
+/// Takes a reference for an attempt.
+struct cm_live_target *
+CmTarget_Ref(struct cm_live_target *target);
+
+/// Returns it.
+void
+CmTarget_Unref(struct cm_live_target *target);
+
+/// Notes that `target` holds an adapter, or no longer does.
+void
+CmTargets_SetHolder(struct cm_targets *targets, const char *adapter,
+                    struct cm_live_target *target, bool holds);
+
+/// @return targets believed to hold `adapter`, or NULL.
+const GPtrArray *
+CmTargets_Holders(const struct cm_targets *targets, const char *adapter);
+
+/// Notes an announced version of an adapter; lower ones are ignored.
+void
+CmTargets_SetVersion(struct cm_targets *targets, const char *adapter,
+                     int64_t version);
+
+/// @return the newest announced version of an adapter, 0 if there is none.
+int64_t
+CmTargets_Version(const struct cm_targets *targets, const char *adapter);
+
+/// A target's response told how many requests it has.
+void
+CmTarget_Reported(struct cm_live_target *target, int64_t running,
+                  int64_t waiting, struct timespec now);
+
+/// @return requests believed to run or wait there.
+double
+CmTarget_Load(const struct cm_live_target *target, struct timespec now);
+
+/// An attempt ended well, or by the target's fault.
+void
+CmTarget_Succeeded(struct cm_live_target *target);
+
+void
+CmTarget_Failed(struct cm_live_target *target, struct timespec now);
+
+#endif
--- /dev/null
+++ b/packages/dispatch/src/catalog.c
@@ -0,0 +1,124 @@
+/// @file catalog.c
+/// Look-ups in a configuration.
+
+#include "dispatch/catalog.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct cm_catalog *
+CmCatalog_New(size_t n_routes, size_t n_services)
+{
+    struct cm_catalog *catalog = g_new0(struct cm_catalog, 1);
+    catalog->references = 1;
+    catalog->n_routes = n_routes;
+    catalog->n_services = n_services;
+    catalog->routes = g_new0(struct cm_route, n_routes);
+    catalog->services = g_new0(struct cm_service_spec, n_services);
+    return catalog;
+}
+
+static int
+longer_first(const void *a, const void *b)
+{
+    size_t length_a = strlen(((const struct cm_route *)a)->prefix);
+    size_t length_b = strlen(((const struct cm_route *)b)->prefix);
+    return (length_a < length_b) - (length_a > length_b);
+}
+
+void
+CmCatalog_Seal(struct cm_catalog *catalog)
+{
+    qsort(catalog->routes, catalog->n_routes, sizeof(catalog->routes[0]),
+          longer_first);
+}
+
+struct cm_catalog *
+CmCatalog_Ref(struct cm_catalog *catalog)
+{
+    catalog->references++;
+    return catalog;
+}
+
+static void
+route_finish(struct cm_route *route)
+{
+    g_free(route->name);
+    g_free(route->host);
+    g_free(route->prefix);
+    for (size_t i = 0; i < route->n_splits; i++) {
+        g_free(route->splits[i].service);
+    }
+    g_free(route->splits);
+}
+
+void
+CmCatalog_Unref(struct cm_catalog *catalog)
+{
+    if (catalog == NULL || --catalog->references > 0) {
+        return;
+    }
+    for (size_t i = 0; i < catalog->n_routes; i++) {
+        route_finish(&catalog->routes[i]);
+    }
+    for (size_t i = 0; i < catalog->n_services; i++) {
+        g_free(catalog->services[i].name);
+        g_free(catalog->services[i].engine.model);
+    }
+    g_free(catalog->routes);
+    g_free(catalog->services);
+    g_free(catalog);
+}
+
+/// @return whether the Host header names `wanted`.
+static bool
+same_host(const char *host, const char *wanted)
+{
+    size_t length = strcspn(host, ":");
+    return length == strlen(wanted) &&
+           g_ascii_strncasecmp(host, wanted, length) == 0;
+}
+
+const struct cm_route *
+CmCatalog_Route(const struct cm_catalog *catalog, const char *host,
+                const char *path)
+{
+    size_t length = strcspn(path, "?");
+    for (size_t i = 0; i < catalog->n_routes; i++) {
+        const struct cm_route *route = &catalog->routes[i];
+        size_t prefix = strlen(route->prefix);
+        if (prefix <= length && strncmp(path, route->prefix, prefix) == 0 &&
+            same_host(host, route->host)) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+const char *
+CmRoute_Service(const struct cm_route *route, double draw)
+{
+    double total = 0;
+    for (size_t i = 0; i < route->n_splits; i++) {
+        total += route->splits[i].weight;
+    }
+    double left = draw * total;
+    for (size_t i = 0; i < route->n_splits; i++) {
+        left -= route->splits[i].weight;
+        if (left < 0) {
+            return route->splits[i].service;
+        }
+    }
+    return route->splits[route->n_splits - 1].service;
+}
+
+const struct cm_service_spec *
+CmCatalog_Service(const struct cm_catalog *catalog, const char *name)
+{
+    for (size_t i = 0; i < catalog->n_services; i++) {
+        if (strcmp(catalog->services[i].name, name) == 0) {
+            return &catalog->services[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/packages/dispatch/src/events.c
@@ -0,0 +1,101 @@
+/// @file events.c
+/// Events of a stream (text/event-stream).
+
+#include "dispatch/events.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+CmEvents_Init(struct cm_events *events, int64_t last)
+{
+    *events = (struct cm_events){g_string_new(NULL), last, 0};
+}
+
+void
+CmEvents_Finish(struct cm_events *events)
+{
+    if (events->partial != NULL) {
+        g_string_free(events->partial, TRUE);
+        events->partial = NULL;
+    }
+}
+
+void
+CmEvents_Resume(struct cm_events *events)
+{
+    g_string_truncate(events->partial, 0);
+}
+
+/// @return length of the first whole event with its blank line, or 0.
+static size_t
+whole_event(const char *text, size_t size)
+{
+    size_t line = 0;
+    for (size_t i = 0; i < size; i++) {
+        if (text[i] == '\n') {
+            if (line == 0) {
+                return i + 1;
+            }
+            line = 0;
+        }
+        else if (text[i] != '\r') {
+            line++;
+        }
+    }
+    return 0;
+}
+
+/// @return the event's id, or -1 if it has none.
+static int64_t
+event_id(const char *text, size_t size)
+{
+    const char *end = text + size;
+    while (text < end) {
+        if (end - text > 3 && strncmp(text, "id:", 3) == 0) {
+            return strtoll(text + 3, NULL, 10);
+        }
+        const char *line = memchr(text, '\n', (size_t)(end - text));
+        if (line == NULL) {
+            break;
+        }
+        text = line + 1;
+    }
+    return -1;
+}
+
+bool
+CmEvents_Feed(struct cm_events *events, const void *data, size_t size,
+              GString *out)
+{
+    g_string_append_len(events->partial, data, (gssize)size);
+    size_t used = 0;
+    for (;;) {
+        const char *text = events->partial->str + used;
+        size_t length = whole_event(text, events->partial->len - used);
+        if (length == 0) {
+            break;
+        }
+        used += length;
+        int64_t id = event_id(text, length);
+        if (id >= 0 && id <= events->last) {
+            continue;
+        }
+        if (id >= 0 && events->last >= 0 && id != events->last + 1) {
+            return false;
+        }
+        g_string_append_len(out, text, (gssize)length);
+        events->passed++;
+        if (id >= 0) {
+            events->last = id;
+        }
+    }
+    g_string_erase(events->partial, 0, (gssize)used);
+    return events->partial->len <= CM_EVENT_MAX;
+}
+
+bool
+CmEvents_AtBoundary(const struct cm_events *events)
+{
+    return events->partial->len == 0;
+}
--- /dev/null
+++ b/packages/dispatch/src/targets.c
@@ -0,0 +1,267 @@
+/// @file targets.c
+/// Table of targets.
+
+#include "dispatch/targets.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+/// Failures in a row after which a target is left out.
+#define EJECT_FAILURES 3
+/// Time for which it is left out: a crashed target takes seconds to return.
+#define EJECT_MS 2000
+/// Age after which a reported load is worth nothing: several service times.
+#define REPORT_AGE_MS 1000
+
+static void
+unref_target(void *target)
+{
+    CmTarget_Unref(target);
+}
+
+static void
+free_holders(void *holders)
+{
+    g_ptr_array_free(holders, TRUE);
+}
+
+void
+CmTargets_Init(struct cm_targets *targets, const char *zone, int agent_port)
+{
+    *targets = (struct cm_targets){.zone = zone, .agent_port = agent_port};
+    LIST_INIT(&targets->list);
+    targets->holders =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_holders);
+    targets->versions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+CmTargets_Finish(struct cm_targets *targets)
+{
+    g_hash_table_destroy(targets->holders);
+    g_hash_table_destroy(targets->versions);
+    struct cm_live_target *target;
+    while ((target = LIST_FIRST(&targets->list)) != NULL) {
+        LIST_REMOVE(target, link);
+        CmTarget_Unref(target);
+    }
+}
+
+struct cm_live_target *
+CmTarget_Ref(struct cm_live_target *target)
+{
+    target->references++;
+    return target;
+}
+
+void
+CmTarget_Unref(struct cm_live_target *target)
+{
+    if (--target->references > 0) {
+        return;
+    }
+    g_free(target->id);
+    g_free(target->service);
+    g_free(target->address);
+    g_free(target->agent);
+    g_free(target);
+}
+
+struct cm_live_target *
+CmTargets_Find(const struct cm_targets *targets, const char *id)
+{
+    struct cm_live_target *target;
+    CmList_FOREACH (target, &targets->list, link) {
+        if (strcmp(target->id, id) == 0) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
+static gboolean
+drop_from_holders(void *key, void *value, void *target)
+{
+    GPtrArray *holders = value;
+    g_ptr_array_remove(holders, target);
+    return holders->len == 0;
+}
+
+static void
+remove_target(struct cm_targets *targets, struct cm_live_target *target)
+{
+    g_hash_table_foreach_remove(targets->holders, drop_from_holders, target);
+    LIST_REMOVE(target, link);
+    targets->count--;
+    target->gone = true;
+    CmTarget_Unref(target);
+}
+
+static struct cm_live_target *
+add_target(struct cm_targets *targets, const struct cm_target_info *info)
+{
+    struct cm_live_target *target = g_new0(struct cm_live_target, 1);
+    target->references = 1;
+    target->id = g_strdup(info->id);
+    target->service = g_strdup(info->service);
+    target->address = g_strdup(info->address);
+    size_t host = strcspn(info->address, ":");
+    target->agent = g_strdup_printf("%.*s:%d", (int)host, info->address,
+                                    targets->agent_port);
+    // The machine, not the incarnation: what it keeps on disk and in memory
+    // outlives a restart of the engine.
+    target->hash = CmHash_Text(info->address, 0);
+    target->started_ms = info->started_ms;
+    LIST_INSERT_HEAD(&targets->list, target, link);
+    targets->count++;
+    return target;
+}
+
+/// @return whether a known target is another one by now.
+static bool
+is_another(const struct cm_live_target *target,
+           const struct cm_target_info *info)
+{
+    return strcmp(target->address, info->address) != 0 ||
+           strcmp(target->service, info->service) != 0 ||
+           target->started_ms != info->started_ms;
+}
+
+struct cm_live_target *
+CmTargets_Update(struct cm_targets *targets, const struct cm_target_info *info)
+{
+    struct cm_live_target *target = CmTargets_Find(targets, info->id);
+    if (target != NULL && is_another(target, info)) {
+        remove_target(targets, target);
+        target = NULL;
+    }
+    if (target == NULL) {
+        target = add_target(targets, info);
+    }
+    target->same_zone = strcmp(info->zone, targets->zone) == 0;
+    // An engine that is leaving does not come back.
+    target->draining = target->draining || info->draining;
+    target->has_model = info->has_model;
+    target->slots = info->slots;
+    target->listed = true;
+    return target;
+}
+
+void
+CmTargets_Remove(struct cm_targets *targets, const char *id)
+{
+    struct cm_live_target *target = CmTargets_Find(targets, id);
+    if (target != NULL) {
+        remove_target(targets, target);
+    }
+}
+
+void
+CmTargets_BeginList(struct cm_targets *targets)
+{
+    struct cm_live_target *target;
+    CmList_FOREACH (target, &targets->list, link) {
+        target->listed = false;
+    }
+}
+
+size_t
+CmTargets_EndList(struct cm_targets *targets)
+{
+    size_t removed = 0;
+    struct cm_live_target *target;
+    struct cm_live_target *next;
+    CmList_FOREACH_SAFE (target, &targets->list, link, next) {
+        if (!target->listed) {
+            remove_target(targets, target);
+            removed++;
+        }
+    }
+    return removed;
+}
+
+void
+CmTargets_SetHolder(struct cm_targets *targets, const char *adapter,
+                    struct cm_live_target *target, bool holds)
+{
+    GPtrArray *holders = g_hash_table_lookup(targets->holders, adapter);
+    if (holders != NULL) {
+        g_ptr_array_remove(holders, target);
+    }
+    if (holds && !target->gone) {
+        if (holders == NULL) {
+            holders = g_ptr_array_new_with_free_func(unref_target);
+            g_hash_table_insert(targets->holders, g_strdup(adapter), holders);
+        }
+        g_ptr_array_add(holders, CmTarget_Ref(target));
+    }
+    else if (holders != NULL && holders->len == 0) {
+        g_hash_table_remove(targets->holders, adapter);
+    }
+}
+
+const GPtrArray *
+CmTargets_Holders(const struct cm_targets *targets, const char *adapter)
+{
+    return g_hash_table_lookup(targets->holders, adapter);
+}
+
+void
+CmTargets_SetVersion(struct cm_targets *targets, const char *adapter,
+                     int64_t version)
+{
+    int64_t *known = g_hash_table_lookup(targets->versions, adapter);
+    if (known == NULL) {
+        known = g_new0(int64_t, 1);
+        g_hash_table_insert(targets->versions, g_strdup(adapter), known);
+    }
+    *known = MAX(*known, version);
+}
+
+int64_t
+CmTargets_Version(const struct cm_targets *targets, const char *adapter)
+{
+    const int64_t *known = g_hash_table_lookup(targets->versions, adapter);
+    return known != NULL ? *known : 0;
+}
+
+void
+CmTarget_Reported(struct cm_live_target *target, int64_t running,
+                  int64_t waiting, struct timespec now)
+{
+    target->reported = running + waiting;
+    target->in_flight_then = target->in_flight;
+    target->reported_at = now;
+}
+
+double
+CmTarget_Load(const struct cm_live_target *target, struct timespec now)
+{
+    int64_t age_ms = CmTime_DiffMs(now, target->reported_at);
+    if (target->reported_at.tv_sec == 0 || age_ms > REPORT_AGE_MS) {
+        return (double)target->in_flight;
+    }
+    // What others had there fades as the report ages.
+    double others = (double)MAX(target->reported - target->in_flight_then, 0);
+    double weight = 1.0 - (double)age_ms / REPORT_AGE_MS;
+    return (double)target->in_flight + others * weight;
+}
+
+void
+CmTarget_Succeeded(struct cm_live_target *target)
+{
+    target->failures = 0;
+}
+
+void
+CmTarget_Failed(struct cm_live_target *target, struct timespec now)
+{
+    if (++target->failures >= EJECT_FAILURES) {
+        target->ejected_until = CmTime_AddMs(now, EJECT_MS);
+        target->failures = EJECT_FAILURES - 1;
+    }
+}
--- /dev/null
+++ b/packages/h1/src/conn.c
@@ -0,0 +1,477 @@
+/// @file conn.c
+/// One HTTP/1.1 connection.
+
+#include "h1/conn.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/// The socket with its parser. It outlives its owner's handle while the
+/// parser runs, as a callback may finish the connection.
+struct cm_h1_io {
+    struct cm_h1_conn *conn; ///< NULL once finished
+    struct bufferevent *bev;
+    http_parser parser;
+    struct cm_h1_head head;
+    bool connecting;
+    bool processing;
+    bool whole;   ///< the current message has been read
+    bool no_body; ///< the response is to a HEAD request
+    bool in_value;
+    bool lingering; ///< finished, but its output is still being written
+    size_t header_bytes;
+};
+
+/// Longest time for the last output of a finished connection to be written.
+#define LINGER_TIMEOUT_S 5
+
+static struct cm_h1_io *
+io_of(http_parser *parser)
+{
+    return parser->data;
+}
+
+static void
+reset_head(struct cm_h1_io *io)
+{
+    g_string_truncate(io->head.target, 0);
+    g_string_truncate(io->head.text, 0);
+    g_array_set_size(io->head.fields, 0);
+    io->head.status = 0;
+    io->head.method = NULL;
+    io->in_value = false;
+    io->header_bytes = 0;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+    reset_head(io_of(parser));
+    return 0;
+}
+
+/// @return whether `size` more bytes fit the header section.
+static bool
+count_header(struct cm_h1_io *io, size_t size)
+{
+    io->header_bytes += size;
+    return io->header_bytes <= CM_H1_HEADER_MAX;
+}
+
+static int
+on_url(http_parser *parser, const char *data, size_t size)
+{
+    struct cm_h1_io *io = io_of(parser);
+    g_string_append_len(io->head.target, data, (gssize)size);
+    return !count_header(io, size);
+}
+
+static void
+close_text(struct cm_h1_io *io)
+{
+    g_string_append_c(io->head.text, '\0');
+}
+
+static int
+on_field(http_parser *parser, const char *data, size_t size)
+{
+    struct cm_h1_io *io = io_of(parser);
+    if (io->in_value || io->head.fields->len == 0) {
+        if (io->in_value) {
+            close_text(io);
+        }
+        struct cm_h1_field field = {(uint32_t)io->head.text->len, 0};
+        g_array_append_val(io->head.fields, field);
+        io->in_value = false;
+    }
+    g_string_append_len(io->head.text, data, (gssize)size);
+    return !count_header(io, size);
+}
+
+static int
+on_value(http_parser *parser, const char *data, size_t size)
+{
+    struct cm_h1_io *io = io_of(parser);
+    if (!io->in_value) {
+        close_text(io);
+        struct cm_h1_field *field = &g_array_index(
+            io->head.fields, struct cm_h1_field, io->head.fields->len - 1);
+        field->value = (uint32_t)io->head.text->len;
+        io->in_value = true;
+    }
+    g_string_append_len(io->head.text, data, (gssize)size);
+    return !count_header(io, size);
+}
+
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+/// @return whether the message itself marks the end of its body.
+static bool
+is_framed(const struct cm_h1_io *io)
+{
+    const http_parser *parser = &io->parser;
+    return parser->type == HTTP_REQUEST || io->no_body ||
+           (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0 ||
+           parser->status_code / 100 == 1 ||
+           parser->status_code == STATUS_NO_CONTENT ||
+           parser->status_code == STATUS_NOT_MODIFIED;
+}
+
+static int
+on_headers(http_parser *parser)
+{
+    struct cm_h1_io *io = io_of(parser);
+    if (io->in_value) {
+        close_text(io);
+        io->in_value = false;
+    }
+    io->head.status = parser->status_code;
+    io->head.method = http_method_str((enum http_method)parser->method);
+    io->head.keep_alive =
+        http_should_keep_alive(parser) != 0 && !parser->upgrade;
+    io->head.framed = is_framed(io);
+    if (io->conn->handler->head != NULL) {
+        io->conn->handler->head(io->conn->context, &io->head);
+    }
+    // Informational responses have no body either way.
+    return io->conn == NULL ? -1 : io->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *data, size_t size)
+{
+    struct cm_h1_io *io = io_of(parser);
+    if (io->conn->handler->body != NULL) {
+        io->conn->handler->body(io->conn->context, data, size);
+    }
+    return io->conn == NULL;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+    io_of(parser)->whole = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+io_free(struct cm_h1_io *io)
+{
+    bufferevent_free(io->bev);
+    g_string_free(io->head.target, TRUE);
+    g_string_free(io->head.text, TRUE);
+    g_array_free(io->head.fields, TRUE);
+    g_free(io);
+}
+
+static void
+on_linger_event(struct bufferevent *bev, short what, void *context)
+{
+    io_free(context);
+}
+
+static void
+on_linger_written(struct bufferevent *bev, void *context)
+{
+    io_free(context);
+}
+
+/// Frees a connection that has no owner, now or after its last output.
+static void
+let_go(struct cm_h1_io *io)
+{
+    if (!io->lingering ||
+        evbuffer_get_length(bufferevent_get_output(io->bev)) == 0) {
+        io_free(io);
+        return;
+    }
+    struct timeval timeout = {LINGER_TIMEOUT_S, 0};
+    bufferevent_setcb(io->bev, NULL, on_linger_written, on_linger_event, io);
+    bufferevent_set_timeouts(io->bev, NULL, &timeout);
+}
+
+static void
+report_end(struct cm_h1_io *io, enum cm_h1_end end)
+{
+    if (io->conn != NULL && io->conn->handler->end != NULL) {
+        io->conn->handler->end(io->conn->context, end);
+    }
+}
+
+static void
+start_message(struct cm_h1_io *io)
+{
+    enum http_parser_type type = (enum http_parser_type)io->parser.type;
+    http_parser_init(&io->parser, type);
+    io->parser.data = io;
+    io->whole = false;
+}
+
+/// Skips a 1xx response.
+static bool
+skip_informational(struct cm_h1_io *io)
+{
+    if (io->parser.type != HTTP_RESPONSE || io->head.status / 100 != 1) {
+        return false;
+    }
+    start_message(io);
+    return true;
+}
+
+/// Gives all input to the parser, up to the end of a message.
+static void
+process(struct cm_h1_io *io)
+{
+    if (io->processing) {
+        return;
+    }
+    io->processing = true;
+    struct evbuffer *input = bufferevent_get_input(io->bev);
+    while (io->conn != NULL && !io->whole && evbuffer_get_length(input) > 0) {
+        size_t size = evbuffer_get_contiguous_space(input);
+        const char *data = (const char *)evbuffer_pullup(input, (int)size);
+        size_t used =
+            http_parser_execute(&io->parser, &parser_settings, data, size);
+        evbuffer_drain(input, used);
+        if (io->conn == NULL) {
+            break;
+        }
+        if (io->whole) {
+            if (!skip_informational(io)) {
+                io->conn->handler->whole(io->conn->context);
+            }
+        }
+        else if (HTTP_PARSER_ERRNO(&io->parser) != HPE_OK) {
+            bool large = io->header_bytes > CM_H1_HEADER_MAX ||
+                         HTTP_PARSER_ERRNO(&io->parser) == HPE_HEADER_OVERFLOW;
+            io->whole = true;
+            report_end(io, large ? CM_H1_TOO_LARGE : CM_H1_INVALID);
+        }
+    }
+    io->processing = false;
+    if (io->conn == NULL) {
+        let_go(io);
+    }
+}
+
+static void
+on_read(struct bufferevent *bev, void *context)
+{
+    process(context);
+}
+
+static void
+on_write(struct bufferevent *bev, void *context)
+{
+    struct cm_h1_io *io = context;
+    if (io->conn != NULL && io->conn->handler->drained != NULL) {
+        io->conn->handler->drained(io->conn->context);
+    }
+}
+
+/// The other end closed: ends a body that only the close delimits.
+static void
+on_closed(struct cm_h1_io *io)
+{
+    if (io->parser.type == HTTP_RESPONSE && !io->whole &&
+        io->head.status != 0 && !io->head.framed) {
+        io->processing = true;
+        http_parser_execute(&io->parser, &parser_settings, NULL, 0);
+        io->processing = false;
+        if (io->conn == NULL) {
+            let_go(io);
+            return;
+        }
+        if (io->whole) {
+            io->conn->handler->whole(io->conn->context);
+            return;
+        }
+    }
+    report_end(io, CM_H1_CLOSED);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *context)
+{
+    struct cm_h1_io *io = context;
+    if (what & BEV_EVENT_CONNECTED) {
+        io->connecting = false;
+        if (io->conn->handler->connected != NULL) {
+            io->conn->handler->connected(io->conn->context);
+        }
+    }
+    else if ((what & BEV_EVENT_EOF) && !io->connecting) {
+        on_closed(io);
+    }
+    else if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) {
+        report_end(io, CM_H1_RESET);
+    }
+}
+
+/// A lost peer is noticed by unacknowledged data and by probes.
+static void
+set_socket_options(evutil_socket_t fd)
+{
+    int on = 1;
+    int probe_s = CM_H1_PROBE_S;
+    int probes = CM_H1_PROBES;
+    unsigned timeout_ms = CM_H1_USER_TIMEOUT_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof(probe_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof(probe_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+}
+
+static struct cm_h1_io *
+io_new(struct cm_h1_conn *conn, struct event_base *base, evutil_socket_t fd,
+       enum http_parser_type type, const struct cm_h1_handler *handler,
+       void *context)
+{
+    struct cm_h1_io *io = g_new0(struct cm_h1_io, 1);
+    io->bev = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+    io->head.target = g_string_new(NULL);
+    io->head.text = g_string_new(NULL);
+    io->head.fields = g_array_new(FALSE, FALSE, sizeof(struct cm_h1_field));
+    http_parser_init(&io->parser, type);
+    io->parser.data = io;
+    io->conn = conn;
+    *conn = (struct cm_h1_conn){io, handler, context};
+    bufferevent_setcb(io->bev, on_read, on_write, on_event, io);
+    bufferevent_setwatermark(io->bev, EV_READ, 0, CM_H1_INPUT_MAX);
+    return io;
+}
+
+void
+CmH1Conn_Accept(struct cm_h1_conn *conn, struct event_base *base,
+                evutil_socket_t fd, const struct cm_h1_handler *handler,
+                void *context)
+{
+    set_socket_options(fd);
+    struct cm_h1_io *io =
+        io_new(conn, base, fd, HTTP_REQUEST, handler, context);
+    bufferevent_enable(io->bev, EV_READ | EV_WRITE);
+}
+
+bool
+CmH1Conn_Connect(struct cm_h1_conn *conn, struct event_base *base,
+                 const char *address, const struct cm_h1_handler *handler,
+                 void *context)
+{
+    conn->io = NULL;
+    struct sockaddr_in where;
+    int size = sizeof(where);
+    if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&where,
+                                   &size) != 0 ||
+        where.sin_family != AF_INET) {
+        return false;
+    }
+    evutil_socket_t fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return false;
+    }
+    set_socket_options(fd);
+    struct cm_h1_io *io =
+        io_new(conn, base, fd, HTTP_RESPONSE, handler, context);
+    io->connecting = true;
+    if (bufferevent_socket_connect(io->bev, (struct sockaddr *)&where, size) !=
+        0) {
+        CmH1Conn_Finish(conn);
+        return false;
+    }
+    bufferevent_enable(io->bev, EV_READ | EV_WRITE);
+    return true;
+}
+
+void
+CmH1Conn_SetHandler(struct cm_h1_conn *conn,
+                    const struct cm_h1_handler *handler, void *context)
+{
+    conn->handler = handler;
+    conn->context = context;
+}
+
+static void
+finish(struct cm_h1_conn *conn, bool linger)
+{
+    struct cm_h1_io *io = conn->io;
+    if (io == NULL) {
+        return;
+    }
+    conn->io = NULL;
+    io->conn = NULL;
+    io->lingering = linger;
+    if (!io->processing) {
+        let_go(io);
+    }
+}
+
+void
+CmH1Conn_Finish(struct cm_h1_conn *conn)
+{
+    finish(conn, false);
+}
+
+void
+CmH1Conn_FinishAfterWrite(struct cm_h1_conn *conn)
+{
+    finish(conn, true);
+}
+
+void
+CmH1Conn_Next(struct cm_h1_conn *conn)
+{
+    start_message(conn->io);
+    conn->io->no_body = false;
+    process(conn->io);
+}
+
+void
+CmH1Conn_ExpectNoBody(struct cm_h1_conn *conn)
+{
+    conn->io->no_body = true;
+}
+
+void
+CmH1Conn_Write(struct cm_h1_conn *conn, const void *data, size_t size)
+{
+    bufferevent_write(conn->io->bev, data, size);
+}
+
+size_t
+CmH1Conn_Unwritten(const struct cm_h1_conn *conn)
+{
+    return evbuffer_get_length(bufferevent_get_output(conn->io->bev));
+}
+
+size_t
+CmH1Conn_Unread(const struct cm_h1_conn *conn)
+{
+    return evbuffer_get_length(bufferevent_get_input(conn->io->bev));
+}
+
+const struct cm_h1_head *
+CmH1Conn_Head(const struct cm_h1_conn *conn)
+{
+    return &conn->io->head;
+}
--- /dev/null
+++ b/packages/h1/src/writer.c
@@ -0,0 +1,70 @@
+/// @file writer.c
+/// Composes HTTP/1.1 messages.
+
+#include "h1/writer.h"
+
+#include <http_parser.h>
+
+void
+CmH1Writer_Request(GString *out, const char *method, const char *target)
+{
+    g_string_append(out, method);
+    g_string_append_c(out, ' ');
+    g_string_append(out, target);
+    g_string_append(out, " HTTP/1.1\r\n");
+}
+
+void
+CmH1Writer_Response(GString *out, int status)
+{
+    g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
+                           http_status_str((enum http_status)status));
+}
+
+void
+CmH1Writer_Header(GString *out, const char *name, const char *value)
+{
+    g_string_append(out, name);
+    g_string_append(out, ": ");
+    g_string_append(out, value);
+    g_string_append(out, "\r\n");
+}
+
+void
+CmH1Writer_Number(GString *out, const char *name, gint64 value)
+{
+    g_string_append_printf(out, "%s: %" G_GINT64_FORMAT "\r\n", name, value);
+}
+
+void
+CmH1Writer_Body(GString *out, const void *body, gsize size)
+{
+    CmH1Writer_Number(out, "Content-Length", (gint64)size);
+    g_string_append(out, "\r\n");
+    if (size > 0) {
+        g_string_append_len(out, body, (gssize)size);
+    }
+}
+
+void
+CmH1Writer_StartChunks(GString *out)
+{
+    g_string_append(out, "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void
+CmH1Writer_Chunk(GString *out, const void *data, gsize size)
+{
+    if (size == 0) {
+        return;
+    }
+    g_string_append_printf(out, "%zx\r\n", size);
+    g_string_append_len(out, data, (gssize)size);
+    g_string_append(out, "\r\n");
+}
+
+void
+CmH1Writer_EndChunks(GString *out)
+{
+    g_string_append(out, "0\r\n\r\n");
+}
--- /dev/null
+++ b/packages/residency/include/residency/lease_message.h
@@ -0,0 +1,68 @@
+/// @file lease_message.h
+/// Messages between gateways and agents, as JSON bodies of HTTP calls:
+/// `POST /lease` asks for an adapter and is answered once it is in its slot
+/// or can't be; `POST /release` ends the lease.
+
+#ifndef RESIDENCY_LEASE_MESSAGE_H
+#define RESIDENCY_LEASE_MESSAGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CM_LEASE_PATH "/lease"
+#define CM_RELEASE_PATH "/release"
+
+/// A gateway asks for an adapter.
+struct cm_lease_ask {
+    char *id;         ///< of the request
+    char *model;      ///< base model
+    char *adapter;    ///< key MODEL/NAME; NULL to have only the model loaded
+    int64_t version;  ///< at least; 0 for any
+    int64_t priority; ///< 0 is the most urgent
+    int64_t slots;    ///< adapters the engine may hold
+    int64_t wait_ms;  ///< for how long the gateway waits
+};
+
+enum cm_lease_outcome {
+    CM_LEASE_OUTCOME_HELD,   ///< the adapter is in its slot
+    CM_LEASE_OUTCOME_PINNED, ///< all slots are in use
+    CM_LEASE_OUTCOME_LATE,   ///< not within the wait
+    CM_LEASE_OUTCOME_DOWN,   ///< the engine does not answer, or has no model
+};
+
+/// An agent answers.
+struct cm_lease_reply {
+    enum cm_lease_outcome outcome;
+    int64_t version;    ///< of the adapter held
+    int64_t free_slots; ///< that no run needs
+    int64_t running;    ///< requests at the engine
+    int64_t waiting;
+};
+
+/// @return the body of a lease call, to be freed with free().
+char *
+CmLeaseAsk_Encode(const struct cm_lease_ask *ask);
+
+/// Decodes a body; CmLeaseAsk_Finish() is due if it returns true.
+bool
+CmLeaseAsk_Decode(struct cm_lease_ask *ask, const char *body, size_t size);
+
+/// Frees what was decoded.
+void
+CmLeaseAsk_Finish(struct cm_lease_ask *ask);
+
+/// @return the body of an answer, to be freed with free().
+char *
+CmLeaseReply_Encode(const struct cm_lease_reply *reply);
+
+/// @return whether `body` is an answer; it is decoded then.
+bool
+CmLeaseReply_Decode(struct cm_lease_reply *reply, const char *body,
+                    size_t size);
+
+/// @return the outcome as a word, for the log.
+const char *
+CmLeaseOutcome_Name(enum cm_lease_outcome outcome);
+
+#endif
--- /dev/null
+++ b/packages/residency/include/residency/residency.h
@@ -0,0 +1,59 @@
+/// @file residency.h
+/// Decides which adapters an engine loads and unloads. Pure: reports and
+/// leases in, orders and grants out.
+
+#ifndef RESIDENCY_RESIDENCY_H
+#define RESIDENCY_RESIDENCY_H
+
+#include "residency/residency_defs.h"
+
+/// Prepares an empty engine with `slots` slots.
+void
+CmResidency_Init(struct cm_residency *residency, int64_t slots);
+
+/// Frees the residents; leases are their owners' matter.
+void
+CmResidency_Finish(struct cm_residency *residency);
+
+/// Asks for an adapter. `lease` carries adapter, version, priority, notify
+/// and context.
+enum cm_lease_result
+CmResidency_Ask(struct cm_residency *residency, struct cm_lease *lease,
+                struct timespec now);
+
+/// Ends a lease, granted or waiting.
+void
+CmResidency_Release(struct cm_residency *residency, struct cm_lease *lease);
+
+/// The engine reports what it holds: Begin, Reported for each, End.
+void
+CmResidency_BeginReport(struct cm_residency *residency);
+void
+CmResidency_Reported(struct cm_residency *residency, const char *adapter,
+                     int64_t version, bool incoming, struct timespec now);
+
+/// Drops what was not reported and grants leases.
+void
+CmResidency_EndReport(struct cm_residency *residency, struct timespec now);
+
+/// @return whether there is an order to give; it is filled in then.
+bool
+CmResidency_NextOrder(struct cm_residency *residency, struct timespec now,
+                      struct cm_residency_order *order);
+
+/// The engine accepted an order.
+/// @param done it has taken effect already.
+void
+CmResidency_Ordered(struct cm_residency *residency,
+                    const struct cm_residency_order *order, bool done,
+                    struct timespec now);
+
+/// @return whether adapters are on their way or waited for.
+bool
+CmResidency_Busy(const struct cm_residency *residency);
+
+/// @return slots that hold nothing a run or a waiting request needs.
+int64_t
+CmResidency_FreeSlots(const struct cm_residency *residency);
+
+#endif
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -18,6 +18,7 @@
 #include "orders.h"
 #include "peers.h"
 #include "runs.h"
+#include "slots/slots_main.h"
 
 #define TICK_MS 20
 #define HEALTH_INTERVAL_TICKS 25
@@ -305,13 +306,17 @@
 usage(FILE *out, int code)
 {
     fprintf(out, "usage: coriandermoor-agent [--version] [--help] "
-                 "--settings FILE\n");
+                 "--settings FILE\n"
+                 "       coriandermoor-agent slots [--settings FILE]\n");
     return code;
 }
 
 int
 main(int argc, char **argv)
 {
+    if (argc > 1 && strcmp(argv[1], "slots") == 0) {
+        return Slots_Main(argc - 1, argv + 1);
+    }
     static const struct option options[] = {
         {"settings", required_argument, NULL, 's'},
         {"version", no_argument, NULL, 'v'},
--- /dev/null
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -0,0 +1,362 @@
+/// @file engine.c
+/// Reports of the engine and orders to it.
+
+#include "engine.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "h1/writer.h"
+#include "names.h"
+
+/// Pause between reports while adapters are on their way, and otherwise.
+#define REPORT_BUSY_MS 20
+#define REPORT_IDLE_MS 700
+/// Time for the engine's answer; it is on this machine.
+#define CALL_TIMEOUT_MS 600
+/// Failures in a row after which the engine counts as gone.
+#define FAILURES_DOWN 2
+/// Pause after an order that was not accepted.
+#define REFUSED_PAUSE_MS 100
+/// Pause between two orders for the base model.
+#define MODEL_PAUSE_MS 3000
+#define IDLE_MAX_MS 10000
+#define STATUS_OK 200
+
+static void
+next_step(struct slots *slots);
+
+static void
+set_timer(struct slots *slots, int64_t ms)
+{
+    struct timeval timeout = CmTime_Timeval(ms);
+    evtimer_add(slots->engine.timer, &timeout);
+}
+
+static bool
+on_head(void *context, const struct cm_h1_head *head)
+{
+    struct slots *slots = context;
+    slots->engine.status = head->status;
+    g_string_truncate(slots->engine.body, 0);
+    return true;
+}
+
+static void
+on_body(void *context, const void *data, size_t size)
+{
+    struct slots *slots = context;
+    g_string_append_len(slots->engine.body, data, (gssize)size);
+}
+
+static void
+on_model(void *context, const char *name)
+{
+    ((struct slots *)context)->engine.has_model = true;
+}
+
+static void
+on_adapter(void *context, const char *adapter, int64_t version, bool incoming)
+{
+    struct slots *slots = context;
+    CmResidency_Reported(&slots->residency, adapter, version, incoming,
+                         Slots_Now(slots));
+}
+
+static void
+engine_failed(struct slots *slots, const char *why)
+{
+    struct engine *engine = &slots->engine;
+    if (++engine->failures == FAILURES_DOWN) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "engine", NULL,
+                    "the engine at %s does not answer: %s",
+                    slots->settings.engine, why);
+        engine->known = false;
+    }
+    set_timer(slots, REFUSED_PAUSE_MS);
+}
+
+static void
+take_report(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    json_t *answer = json_loadb(engine->body->str, engine->body->len, 0, NULL);
+    engine->has_model = false;
+    CmResidency_BeginReport(&slots->residency);
+    bool sound = engine->status == STATUS_OK &&
+                 CmEngineCodec_Report(answer, &engine->report, on_model,
+                                      on_adapter, slots);
+    json_decref(answer);
+    if (!sound) {
+        engine_failed(slots, "its report is not understood");
+        return;
+    }
+    if (!engine->known) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "engine", NULL,
+                    "the engine at %s answers: %" PRId64 " orders so far",
+                    slots->settings.engine, engine->report.orders);
+    }
+    engine->known = true;
+    engine->failures = 0;
+    engine->stale = false;
+    CmResidency_EndReport(&slots->residency, Slots_Now(slots));
+    next_step(slots);
+}
+
+static void
+log_order(const struct slots *slots, enum cm_order_verdict answer)
+{
+    static const char *const answers[] = {"under way", "done", "conflict",
+                                          "fenced", "refused"};
+    const struct engine *engine = &slots->engine;
+    CmLog_Event(G_LOG_LEVEL_INFO, "order", NULL,
+                "%s %s version %" PRId64 " as order %" PRId64 ": %s",
+                engine->order.load ? "load" : "unload", engine->order.adapter,
+                engine->order.version, engine->report.orders + 1,
+                answers[answer]);
+}
+
+static void
+take_order_answer(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    enum cm_order_verdict answer = CmEngineCodec_OrderVerdict(engine->status);
+    log_order(slots, answer);
+    switch (answer) {
+    case CM_VERDICT_UNDER_WAY:
+        engine->report.orders++;
+        CmResidency_Ordered(&slots->residency, &engine->order, false,
+                            Slots_Now(slots));
+        next_step(slots);
+        break;
+    case CM_VERDICT_DONE:
+        engine->report.orders++;
+        CmResidency_Ordered(&slots->residency, &engine->order, true,
+                            Slots_Now(slots));
+        // Whether "done" advanced the engine's count is seen in its report.
+        engine->stale = true;
+        next_step(slots);
+        break;
+    case CM_VERDICT_FENCED:
+        engine->fence++;
+        engine->stale = true;
+        set_timer(slots, 0);
+        break;
+    default:
+        engine->stale = true;
+        set_timer(slots, REFUSED_PAUSE_MS);
+        break;
+    }
+}
+
+static void
+on_end(void *context, enum cm_h1_call_end end)
+{
+    struct slots *slots = context;
+    struct engine *engine = &slots->engine;
+    enum engine_call ended = engine->under_way;
+    engine->under_way = ENGINE_IDLE;
+    evtimer_del(engine->timer);
+    if (end != CM_H1_CALL_WHOLE) {
+        // An order may have been accepted all the same: the next report
+        // tells, and the number it expects keeps it from acting later.
+        engine->stale = true;
+        engine_failed(slots, "no connection");
+        return;
+    }
+    if (ended == ENGINE_REPORT) {
+        take_report(slots);
+    }
+    else if (ended == ENGINE_ORDER) {
+        take_order_answer(slots);
+    }
+    else {
+        CmLog_Event(G_LOG_LEVEL_INFO, "order", NULL,
+                    "load of model %s: status %d", engine->model,
+                    engine->status);
+        engine->stale = true;
+        set_timer(slots, REFUSED_PAUSE_MS);
+    }
+}
+
+static const struct cm_h1_call_handler call_handler = {on_head, on_body,
+                                                       on_end};
+
+static void
+start_call(struct slots *slots, enum engine_call what, GString *message)
+{
+    struct engine *engine = &slots->engine;
+    struct cm_h1_call_request request = {.address = slots->settings.engine,
+                                         .message = message,
+                                         .idle_max_ms = IDLE_MAX_MS};
+    engine->under_way = what;
+    if (CmH1Call_Start(&engine->call, &slots->pool, &request, &call_handler,
+                       slots)) {
+        set_timer(slots, CALL_TIMEOUT_MS);
+    }
+    else {
+        engine->under_way = ENGINE_IDLE;
+        engine_failed(slots, "no socket");
+    }
+    g_string_free(message, TRUE);
+}
+
+static void
+ask_report(struct slots *slots)
+{
+    GString *message = g_string_new(NULL);
+    CmH1Writer_Request(message, "GET", CM_WIRE_REPORT_PATH);
+    CmH1Writer_Header(message, "Host", slots->settings.engine);
+    g_string_append(message, "\r\n");
+    slots->reports.value++;
+    start_call(slots, ENGINE_REPORT, message);
+}
+
+static void
+give_order(struct slots *slots, enum engine_call what,
+           const struct cm_engine_order *order)
+{
+    char *body = CmEngineCodec_Order(order);
+    GString *message = g_string_new(NULL);
+    CmH1Writer_Request(message, "POST", CM_WIRE_ORDER_PATH);
+    CmH1Writer_Header(message, "Host", slots->settings.engine);
+    CmH1Writer_Header(message, "Content-Type", "application/json");
+    CmH1Writer_Body(message, body, strlen(body));
+    free(body);
+    slots->orders.value++;
+    start_call(slots, what, message);
+}
+
+static void
+order_adapter(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    const char *slash = strchr(engine->order.adapter, '/');
+    char *model = g_strndup(engine->order.adapter,
+                            (gsize)(slash - engine->order.adapter));
+    struct cm_engine_order order = {
+        .load = engine->order.load,
+        .model = model,
+        .adapter = slash + 1,
+        .version = engine->order.version,
+        .expect = engine->report.orders,
+        .holder = slots->settings.common.name,
+        .fence = engine->fence,
+    };
+    give_order(slots, ENGINE_ORDER, &order);
+    g_free(model);
+}
+
+static void
+order_model(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    engine->no_model_until = CmTime_AddMs(Slots_Now(slots), MODEL_PAUSE_MS);
+    struct cm_engine_order order = {
+        .load = true,
+        .model = engine->model,
+        .expect = engine->report.orders,
+        .holder = slots->settings.common.name,
+        .fence = engine->fence,
+    };
+    give_order(slots, ENGINE_MODEL_ORDER, &order);
+}
+
+static bool
+wants_model(const struct slots *slots)
+{
+    const struct engine *engine = &slots->engine;
+    return !engine->has_model && !engine->report.busy &&
+           engine->model != NULL && !engine->report.leaving &&
+           !CmTime_Before(Slots_Now(slots), engine->no_model_until);
+}
+
+/// Gives the next order, or sets the time of the next report.
+static void
+next_step(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    if (engine->under_way != ENGINE_IDLE) {
+        return;
+    }
+    if (!engine->known || engine->stale) {
+        set_timer(slots, 0);
+        return;
+    }
+    if (wants_model(slots)) {
+        order_model(slots);
+        return;
+    }
+    g_clear_pointer(&engine->order.adapter, g_free);
+    if (engine->has_model &&
+        CmResidency_NextOrder(&slots->residency, Slots_Now(slots),
+                              &engine->order)) {
+        order_adapter(slots);
+        return;
+    }
+    bool busy = CmResidency_Busy(&slots->residency) || !engine->has_model;
+    set_timer(slots, busy ? REPORT_BUSY_MS : REPORT_IDLE_MS);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    struct slots *slots = context;
+    struct engine *engine = &slots->engine;
+    if (engine->under_way != ENGINE_IDLE) {
+        CmH1Call_Cancel(&engine->call);
+        engine->under_way = ENGINE_IDLE;
+        engine->stale = true;
+        engine_failed(slots, "no answer in time");
+        return;
+    }
+    ask_report(slots);
+}
+
+void
+Engine_Init(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    engine->body = g_string_new(NULL);
+    engine->fence = 1;
+    engine->timer = evtimer_new(slots->base, on_timer, slots);
+    set_timer(slots, 0);
+}
+
+void
+Engine_Finish(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    CmH1Call_Cancel(&engine->call);
+    event_free(engine->timer);
+    g_string_free(engine->body, TRUE);
+    g_free(engine->order.adapter);
+    g_free(engine->model);
+}
+
+void
+Engine_Wake(struct slots *slots)
+{
+    next_step(slots);
+}
+
+void
+Engine_WantModel(struct slots *slots, const char *model)
+{
+    struct engine *engine = &slots->engine;
+    if (engine->model == NULL || strcmp(engine->model, model) != 0) {
+        g_free(engine->model);
+        engine->model = g_strdup(model);
+    }
+    if (!engine->has_model) {
+        next_step(slots);
+    }
+}
+
+bool
+Engine_Serves(const struct slots *slots)
+{
+    return slots->engine.known && slots->engine.has_model;
+}
--- /dev/null
+++ b/programs/coriandermoor-agent/slots/engine.h
@@ -0,0 +1,29 @@
+/// @file engine.h
+/// Reports of the engine and orders to it.
+
+#ifndef SLOTS_ENGINE_H
+#define SLOTS_ENGINE_H
+
+#include "slots.h"
+
+/// Starts to read reports.
+void
+Engine_Init(struct slots *slots);
+
+/// Stops.
+void
+Engine_Finish(struct slots *slots);
+
+/// A lease waits: orders are given as soon as the engine can take them.
+void
+Engine_Wake(struct slots *slots);
+
+/// Gateways want this base model loaded.
+void
+Engine_WantModel(struct slots *slots, const char *model);
+
+/// @return whether the engine answers and holds its base model.
+bool
+Engine_Serves(const struct slots *slots);
+
+#endif
--- a/programs/coriandermoor/commands.c
+++ b/programs/coriandermoor/commands.c
@@ -15,6 +15,7 @@
 #include "config/config.h"
 #include "config/settings.h"
 #include "entry_main.h"
+#include "gateway/gateway_main.h"
 #include "http/client.h"
 
 #define DEFAULT_ADMIN "127.0.0.1:8100"
@@ -94,6 +95,24 @@
     return Entry_Main(options.settings);
 }
 
+/// Where the platform puts the settings unless the variable says otherwise.
+#define SETTINGS_DEFAULT "/etc/coriandermoor/boot.json"
+#define SETTINGS_VARIABLE "CORIANDERMOOR_BOOT"
+
+int
+Command_Gateway(int argc, char **argv)
+{
+    struct options options;
+    if (!parse_options(argc, argv, &options) || options.help) {
+        return usage(options.help, "gateway [--settings FILE]");
+    }
+    const char *path = options.settings;
+    if (path == NULL) {
+        path = g_getenv(SETTINGS_VARIABLE);
+    }
+    return Gateway_Main(path != NULL ? path : SETTINGS_DEFAULT);
+}
+
 static void
 print_findings_json(const struct cm_findings *findings)
 {
--- a/programs/coriandermoor/commands.h
+++ b/programs/coriandermoor/commands.h
@@ -16,6 +16,8 @@
 int
 Command_Entry(int argc, char **argv);
 int
+Command_Gateway(int argc, char **argv);
+int
 Command_Check(int argc, char **argv);
 int
 Command_Apply(int argc, char **argv);
--- /dev/null
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -0,0 +1,82 @@
+/// @file gateway.h
+/// State of a gateway: an entry that reaches its targets directly and learns
+/// of them from the platform's store.
+///
+/// Direction of the files: gateway_main.c starts the others; caller_conns.c
+/// reads requests and hands them to request.c; request.c places them and
+/// drives target_call.c (one send to a target) and lease.c (one claim on an
+/// adapter). feeds.c fills the tables that placing reads.
+
+#ifndef GATEWAY_H
+#define GATEWAY_H
+
+#include <event2/event.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "config/settings.h"
+#include "dispatch/budget.h"
+#include "dispatch/catalog.h"
+#include "dispatch/targets.h"
+#include "h1/listener.h"
+#include "h1/pool.h"
+#include "store.h"
+
+struct request;
+struct caller;
+
+/// Counters that the metrics address shows.
+struct gateway_counters {
+    struct cm_counters all;
+    struct cm_counter requests;
+    struct cm_counter answered;
+    struct cm_counter refused;
+    struct cm_counter failed;
+    struct cm_counter cut;
+    struct cm_counter abandoned;
+    struct cm_counter sends;
+    struct cm_counter resumes;
+    struct cm_counter leases;
+    struct cm_counter callers;
+    struct cm_counter version;
+};
+
+struct gateway {
+    struct cm_gateway_settings settings;
+    struct event_base *base;
+    struct cm_clock *clock;
+    struct cm_h1_pool pool;
+    struct cm_targets targets;
+    struct cm_catalog *catalog; ///< NULL until a configuration is known
+    GHashTable *budgets;        ///< service name to struct cm_budget
+    GRand *random;
+
+    struct cm_store_feed catalog_feed;
+    struct cm_store_feed target_feed;
+    struct cm_store_feed version_feed;
+    struct event *removal; ///< end of the wait for entries to come back
+
+    struct cm_h1_listener callers_listener;
+    struct cm_h1_listener ready_listener;
+    struct cm_h1_listener admin_listener;
+    TAILQ_HEAD(, caller) callers;
+    size_t n_requests; ///< in progress
+
+    bool leaving;
+    struct timespec leaving_since;
+    struct event *term;
+    struct event *interrupt;
+    struct event *hangup;
+    struct event *tick;
+    struct gateway_counters count;
+};
+
+/// @return monotonic time.
+struct timespec
+Gateway_Now(const struct gateway *gateway);
+
+/// @return the budget of repeated sends to `service`.
+struct cm_budget *
+Gateway_Budget(struct gateway *gateway, const char *service);
+
+#endif
--- /dev/null
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -0,0 +1,217 @@
+/// @file gateway_main.c
+/// Start, loop and stop of a gateway.
+
+#include "gateway_main.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "config/yaml.h"
+#include "caller_conns.h"
+#include "feeds.h"
+#include "gateway.h"
+#include "lease.h"
+#include "probes.h"
+
+/// Interval of slow checks.
+#define TICK_MS 500
+/// Gateways among which the reserve of repeats is shared. More live gateways
+/// than this would be needed to exceed the bound on all of them.
+#define RESERVE_SHARES 6
+/// After this time of a planned stop the balancer has taken this gateway out
+/// and idle connections are closed.
+#define STOP_IDLE_MS 2500
+/// Left of the stop's time when what is still in progress is given up.
+#define STOP_MARGIN_MS 400
+#define MS_PER_S 1000
+
+struct timespec
+Gateway_Now(const struct gateway *gateway)
+{
+    return CmClock_Now(gateway->clock);
+}
+
+struct cm_budget *
+Gateway_Budget(struct gateway *gateway, const char *service)
+{
+    struct cm_budget *budget = g_hash_table_lookup(gateway->budgets, service);
+    if (budget == NULL) {
+        const struct cm_gateway_settings *settings = &gateway->settings;
+        budget = g_new(struct cm_budget, 1);
+        CmBudget_Init(budget, settings->retry_ratio,
+                      (double)settings->retry_reserve / RESERVE_SHARES,
+                      settings->retry_window_s * MS_PER_S);
+        g_hash_table_insert(gateway->budgets, g_strdup(service), budget);
+    }
+    return budget;
+}
+
+/// Engines without their base model are no use: their agents are asked to
+/// load it.
+static void
+ask_for_models(struct gateway *gateway)
+{
+    if (gateway->catalog == NULL) {
+        return;
+    }
+    struct cm_live_target *target;
+    CmList_FOREACH (target, &gateway->targets.list, link) {
+        const struct cm_service_spec *spec =
+            CmCatalog_Service(gateway->catalog, target->service);
+        if (spec != NULL && spec->engine.model != NULL && !target->has_model &&
+            !target->draining) {
+            Lease_AskForModel(gateway, target, spec->engine.model);
+        }
+    }
+}
+
+static void
+check_stop(struct gateway *gateway)
+{
+    if (!gateway->leaving) {
+        return;
+    }
+    int64_t since_ms =
+        CmTime_DiffMs(Gateway_Now(gateway), gateway->leaving_since);
+    int64_t limit_ms = gateway->settings.stop_s * MS_PER_S - STOP_MARGIN_MS;
+    if (since_ms >= STOP_IDLE_MS) {
+        CallerConns_CloseIdle(gateway);
+    }
+    if (since_ms >= limit_ms ||
+        (since_ms >= STOP_IDLE_MS && gateway->n_requests == 0)) {
+        event_base_loopbreak(gateway->base);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *context)
+{
+    struct gateway *gateway = context;
+    ask_for_models(gateway);
+    check_stop(gateway);
+}
+
+static void
+on_stop_signal(evutil_socket_t fd, short what, void *context)
+{
+    struct gateway *gateway = context;
+    if (gateway->leaving) {
+        return;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
+                "leaving: %zu requests are in progress", gateway->n_requests);
+    gateway->leaving = true;
+    gateway->leaving_since = Gateway_Now(gateway);
+}
+
+static void
+on_hangup(evutil_socket_t fd, short what, void *context)
+{
+    CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
+                "the settings file changed: addresses hold until a restart");
+}
+
+static void
+gateway_init(struct gateway *gateway)
+{
+    const struct cm_gateway_settings *settings = &gateway->settings;
+    gateway->clock = CmClock_System();
+    gateway->base = event_base_new();
+    gateway->random = g_rand_new();
+    gateway->budgets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    TAILQ_INIT(&gateway->callers);
+    Probes_InitCounters(gateway);
+    CmH1Pool_Init(&gateway->pool, gateway->base, gateway->clock);
+    CmTargets_Init(&gateway->targets, settings->common.zone,
+                   (int)settings->agent_port);
+    Feeds_Init(gateway);
+    gateway->tick = event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
+    gateway->term =
+        evsignal_new(gateway->base, SIGTERM, on_stop_signal, gateway);
+    gateway->interrupt =
+        evsignal_new(gateway->base, SIGINT, on_stop_signal, gateway);
+    gateway->hangup = evsignal_new(gateway->base, SIGHUP, on_hangup, gateway);
+    struct timeval tick = CmTime_Timeval(TICK_MS);
+    event_add(gateway->tick, &tick);
+    event_add(gateway->term, NULL);
+    event_add(gateway->interrupt, NULL);
+    event_add(gateway->hangup, NULL);
+}
+
+static void
+gateway_finish(struct gateway *gateway)
+{
+    CallerConns_Finish(gateway);
+    Probes_Finish(gateway);
+    Feeds_Finish(gateway);
+    CmH1Pool_Finish(&gateway->pool);
+    CmTargets_Finish(&gateway->targets);
+    CmCatalog_Unref(gateway->catalog);
+    g_hash_table_destroy(gateway->budgets);
+    g_rand_free(gateway->random);
+    event_free(gateway->tick);
+    event_free(gateway->term);
+    event_free(gateway->interrupt);
+    event_free(gateway->hangup);
+    event_base_free(gateway->base);
+}
+
+static int
+run(struct gateway *gateway)
+{
+    gateway_init(gateway);
+    GError *error = NULL;
+    int code = EXIT_SUCCESS;
+    if (CallerConns_Listen(gateway, &error) &&
+        Probes_Listen(gateway, &error)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
+                    "version %s serves callers at %s", CM_VERSION,
+                    gateway->settings.listen);
+        event_base_dispatch(gateway->base);
+        CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
+                    "stops: %zu requests are given up", gateway->n_requests);
+    }
+    else {
+        fprintf(stderr, "coriandermoor: %s\n", error->message);
+        g_clear_error(&error);
+        code = EXIT_FAILURE;
+    }
+    gateway_finish(gateway);
+    return code;
+}
+
+int
+Gateway_Main(const char *path)
+{
+    signal(SIGPIPE, SIG_IGN);
+    size_t size;
+    GError *error = NULL;
+    char *text = CmSettings_LoadFile(path, &size, &error);
+    if (text == NULL) {
+        fprintf(stderr, "coriandermoor: %s\n", error->message);
+        g_clear_error(&error);
+        return EXIT_FAILURE;
+    }
+    struct gateway gateway = {0};
+    struct cm_findings findings;
+    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
+    int code = EXIT_FAILURE;
+    if (CmSettings_ReadGateway(&gateway.settings, text, size, &findings)) {
+        const struct cm_settings *common = &gateway.settings.common;
+        CmLog_Init(common->log_format, common->log_level, common->name);
+        code = run(&gateway);
+    }
+    else {
+        char *report = CmFindings_Report(&findings);
+        fputs(report, stderr);
+        g_free(report);
+    }
+    CmYaml_Finish(&gateway.settings.common.yaml);
+    CmFindings_Finish(&findings);
+    g_free(text);
+    return code;
+}
--- /dev/null
+++ b/programs/coriandermoor/gateway/lease.h
@@ -0,0 +1,31 @@
+/// @file lease.h
+/// A request's claim on an adapter.
+
+#ifndef GATEWAY_LEASE_H
+#define GATEWAY_LEASE_H
+
+#include "request_defs.h"
+
+/// Asks the agent of `target` for the request's adapter. Request_Leased() or
+/// Request_NotLeased() follows, not from inside this function.
+/// @return false if the agent can't be asked.
+bool
+Lease_Ask(struct request *request, struct cm_live_target *target,
+          int64_t wait_ms);
+
+/// Ends the claim, asked for or held.
+void
+Lease_Release(struct request *request);
+
+/// Has the base model loaded where it is missing.
+void
+Lease_AskForModel(struct gateway *gateway, struct cm_live_target *target,
+                  const char *model);
+
+/// Implemented by request.c.
+void
+Request_Leased(struct request *request);
+void
+Request_NotLeased(struct request *request, const char *why);
+
+#endif
--- /dev/null
+++ b/programs/coriandermoor/gateway/probes.c
@@ -0,0 +1,150 @@
+/// @file probes.c
+/// Readiness and metrics.
+
+#include "probes.h"
+
+#include <string.h>
+
+#include "h1/conn.h"
+#include "h1/writer.h"
+
+#define STATUS_OK 200
+#define STATUS_UNAVAILABLE 503
+
+/// A connection that asks; it answers all requests on it.
+struct probe {
+    struct gateway *gateway;
+    struct cm_h1_conn conn;
+    void (*answer)(struct probe *probe);
+};
+
+static void
+write_text(struct probe *probe, int status, const char *text)
+{
+    GString *out = g_string_new(NULL);
+    CmH1Writer_Response(out, status);
+    CmH1Writer_Header(out, "Content-Type", "text/plain");
+    CmH1Writer_Body(out, text, strlen(text));
+    CmH1Conn_Write(&probe->conn, out->str, out->len);
+    g_string_free(out, TRUE);
+}
+
+/// Ready once requests can be placed, and until a planned stop begins.
+static void
+answer_ready(struct probe *probe)
+{
+    const struct gateway *gateway = probe->gateway;
+    bool ready = gateway->catalog != NULL && gateway->targets.count > 0 &&
+                 !gateway->leaving;
+    write_text(probe, ready ? STATUS_OK : STATUS_UNAVAILABLE,
+               ready ? "ready\n" : "not ready\n");
+}
+
+static void
+answer_metrics(struct probe *probe)
+{
+    GString *text = g_string_new(NULL);
+    CmCounters_Write(&probe->gateway->count.all, text);
+    write_text(probe, STATUS_OK, text->str);
+    g_string_free(text, TRUE);
+}
+
+static void
+probe_free(struct probe *probe)
+{
+    CmH1Conn_FinishAfterWrite(&probe->conn);
+    g_free(probe);
+}
+
+static void
+on_whole(void *context)
+{
+    struct probe *probe = context;
+    bool keep = CmH1Conn_Head(&probe->conn)->keep_alive;
+    probe->answer(probe);
+    if (keep) {
+        CmH1Conn_Next(&probe->conn);
+    }
+    else {
+        probe_free(probe);
+    }
+}
+
+static void
+on_end(void *context, enum cm_h1_end end)
+{
+    probe_free(context);
+}
+
+static const struct cm_h1_handler handler = {.whole = on_whole, .end = on_end};
+
+static void
+accept_probe(struct gateway *gateway, evutil_socket_t fd,
+             void (*answer)(struct probe *probe))
+{
+    struct probe *probe = g_new0(struct probe, 1);
+    probe->gateway = gateway;
+    probe->answer = answer;
+    CmH1Conn_Accept(&probe->conn, gateway->base, fd, &handler, probe);
+}
+
+static void
+on_ready_accept(void *context, evutil_socket_t fd)
+{
+    accept_probe(context, fd, answer_ready);
+}
+
+static void
+on_admin_accept(void *context, evutil_socket_t fd)
+{
+    accept_probe(context, fd, answer_metrics);
+}
+
+void
+Probes_InitCounters(struct gateway *gateway)
+{
+    struct gateway_counters *count = &gateway->count;
+    struct cm_counters *all = &count->all;
+    CmCounters_Init(all);
+    CmCounters_Add(all, &count->requests, "cm_gateway_requests_total",
+                   "Requests of callers.");
+    CmCounters_Add(all, &count->answered, "cm_gateway_answered_total",
+                   "Requests answered by a target.");
+    CmCounters_Add(all, &count->refused, "cm_gateway_refused_total",
+                   "Requests refused that have not run.");
+    CmCounters_Add(all, &count->failed, "cm_gateway_failed_total",
+                   "Requests answered by a failure of the gateway's own.");
+    CmCounters_Add(all, &count->cut, "cm_gateway_cut_total",
+                   "Streams broken off.");
+    CmCounters_Add(all, &count->abandoned, "cm_gateway_abandoned_total",
+                   "Requests whose caller left.");
+    CmCounters_Add(all, &count->sends, "cm_gateway_sends_total",
+                   "Attempts sent to targets.");
+    CmCounters_Add(all, &count->resumes, "cm_gateway_repeats_total",
+                   "Attempts that followed another one.");
+    CmCounters_Add(all, &count->leases, "cm_gateway_leases_total",
+                   "Adapters asked for at agents.");
+    CmCounters_AddGauge(all, &count->callers, "cm_gateway_connections",
+                        "Open connections of callers.");
+    CmCounters_AddGauge(all, &count->version, "cm_gateway_config_version",
+                        "Version of the configuration in force.");
+}
+
+gboolean
+Probes_Listen(struct gateway *gateway, GError **error)
+{
+    const struct cm_gateway_settings *settings = &gateway->settings;
+    return CmH1Listener_Init(&gateway->ready_listener, gateway->base,
+                             settings->ready, on_ready_accept, gateway,
+                             error) &&
+           CmH1Listener_Init(&gateway->admin_listener, gateway->base,
+                             settings->common.admin, on_admin_accept, gateway,
+                             error);
+}
+
+void
+Probes_Finish(struct gateway *gateway)
+{
+    CmH1Listener_Finish(&gateway->ready_listener);
+    CmH1Listener_Finish(&gateway->admin_listener);
+}
--- /dev/null
+++ b/programs/coriandermoor/gateway/request.h
@@ -0,0 +1,17 @@
+/// @file request.h
+/// One request of a caller, from its arrival to its final answer.
+
+#ifndef GATEWAY_REQUEST_H
+#define GATEWAY_REQUEST_H
+
+#include "caller_conns.h"
+
+/// Starts to serve the request that `caller` has read.
+void
+Request_Start(struct caller *caller);
+
+/// The caller has gone: ends all work for it.
+void
+Request_Abandon(struct request *request);
+
+#endif
--- /dev/null
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -0,0 +1,144 @@
+/// @file target_call.c
+/// One send of a request to a target.
+
+#include "target_call.h"
+
+#include "names.h"
+
+/// Longest response that is held back until it is whole.
+#define BODY_MAX ((gsize)8 * 1024 * 1024)
+/// Requests that must not run twice go out on connections that were idle for
+/// a short time only: an idle one may just be closing.
+#define IDLE_ONCE_MS 500
+#define IDLE_AGAIN_MS 10000
+/// Least urgent priority on the wire.
+#define PRIORITY_MAX 9
+#define STATUS_OK 200
+#define STATUS_REDIRECT 300
+
+static bool
+is_success(int status)
+{
+    return status >= STATUS_OK && status < STATUS_REDIRECT;
+}
+
+static bool
+on_head(void *context, const struct cm_h1_head *head)
+{
+    struct request *request = context;
+    struct attempt *attempt = &request->attempt;
+    if (!CmCallCodec_Answer(head, request->asked.id, &attempt->answer)) {
+        return false;
+    }
+    attempt->has_head = true;
+    if (attempt->answer.has_load) {
+        CmTarget_Reported(attempt->target, attempt->answer.running,
+                          attempt->answer.waiting,
+                          Gateway_Now(request->gateway));
+    }
+    g_string_truncate(attempt->head, 0);
+    CmCallCodec_PassHead(head, attempt->head);
+    return true;
+}
+
+static void
+on_body(void *context, const void *data, size_t size)
+{
+    struct request *request = context;
+    struct attempt *attempt = &request->attempt;
+    if (request->route->stream && is_success(attempt->answer.status)) {
+        Request_Events(request, data, size);
+        return;
+    }
+    if (attempt->body->len + size > BODY_MAX) {
+        attempt->broken = true;
+        return;
+    }
+    g_string_append_len(attempt->body, data, (gssize)size);
+}
+
+static void
+drop_target(struct request *request)
+{
+    struct attempt *attempt = &request->attempt;
+    if (attempt->target != NULL) {
+        attempt->target->in_flight--;
+        CmTarget_Unref(attempt->target);
+        attempt->target = NULL;
+    }
+}
+
+static void
+on_end(void *context, enum cm_h1_call_end end)
+{
+    Request_AttemptEnded(context, end);
+}
+
+static const struct cm_h1_call_handler call_handler = {on_head, on_body,
+                                                       on_end};
+
+bool
+TargetCall_Send(struct request *request, struct cm_live_target *target)
+{
+    struct attempt *attempt = &request->attempt;
+    struct gateway *gateway = request->gateway;
+    const struct cm_route *route = request->route;
+    drop_target(request);
+    const char *adapter = request->asked.adapter;
+    struct timespec now = Gateway_Now(gateway);
+    struct cm_forward forward = {
+        .target_id = target->id,
+        .left_ms = CmTime_DiffMs(request->deadline, now),
+        .version = adapter != NULL
+                       ? CmTargets_Version(&gateway->targets, adapter)
+                       : 0,
+        .priority = request->asked.model != NULL
+                        ? MIN(route->priority, PRIORITY_MAX)
+                        : -1,
+        .last_event = request->events.last,
+    };
+    GString *message = g_string_new(NULL);
+    CmCallCodec_Forward(CmH1Conn_Head(&request->caller->conn),
+                        request->caller->body, &forward, message);
+    if (attempt->head == NULL) {
+        attempt->head = g_string_new(NULL);
+        attempt->body = g_string_new(NULL);
+    }
+    g_string_truncate(attempt->body, 0);
+    attempt->has_head = false;
+    attempt->broken = false;
+    attempt->sent = now;
+    struct cm_h1_call_request call = {
+        .address = target->address,
+        .message = message,
+        .idle_max_ms =
+            route->repeat == CM_REPEAT_NEVER ? IDLE_ONCE_MS : IDLE_AGAIN_MS,
+    };
+    bool started = CmH1Call_Start(&attempt->call, &gateway->pool, &call,
+                                  &call_handler, request);
+    if (started) {
+        attempt->target = CmTarget_Ref(target);
+        target->in_flight++;
+        request->sends++;
+        gateway->count.sends.value++;
+    }
+    g_string_free(message, TRUE);
+    return started;
+}
+
+void
+TargetCall_Cancel(struct request *request)
+{
+    CmH1Call_Cancel(&request->attempt.call);
+    drop_target(request);
+}
+
+void
+TargetCall_Finish(struct request *request)
+{
+    TargetCall_Cancel(request);
+    if (request->attempt.head != NULL) {
+        g_string_free(request->attempt.head, TRUE);
+        g_string_free(request->attempt.body, TRUE);
+    }
+}
--- a/programs/coriandermoor/main.c
+++ b/programs/coriandermoor/main.c
@@ -14,6 +14,7 @@
     const char *help;
 } commands[] = {
     {"entry", Command_Entry, "serve callers and operators"},
+    {"gateway", Command_Gateway, "serve callers on the users' platform"},
     {"check", Command_Check, "check a text and print its findings"},
     {"apply", Command_Apply, "submit a text"},
     {"show", Command_Show, "print the text in force"},
