feat(residency,dispatch): adapters stay with their engines; a window of store loads

The store bears 8 loads at once; 72 were under way, each took 2.3 s, and requests that gave up asked further engines, which loaded the same adapters again (1,681 loads, 18 engines, up to 9 copies).

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -23,6 +23,19 @@
     bool has_model;     ///< holds its base model
 };
 
+/// Time for which a target is likely to keep a copy of an adapter that has
+/// left its slots: it keeps some thirty, and fetches one or two a second.
+#define CM_COPY_WARM_MS 20000
+/// Age of a grant beyond which the platform's list is believed instead.
+#define CM_COPY_FRESH_MS 2000
+
+/// One adapter's copy at a target.
+struct cm_copy {
+    bool held;            ///< in a slot; otherwise it loads quickly
+    bool listed;          ///< in the list that is being read
+    struct timespec seen; ///< last known to be in a slot
+};
+
 /// One target.
 struct cm_live_target {
     LIST_ENTRY(cm_live_target) link;
@@ -40,12 +53,17 @@
     int references; ///< the table and each attempt
     bool gone;      ///< no longer in the table
 
-    int64_t in_flight;      ///< of this entry
-    double prefill_tokens;  ///< sent by this entry and not begun
+    int64_t in_flight;     ///< of this entry
+    double prefill_tokens; ///< sent by this entry and not begun
+    int64_t free_slots;    ///< adapter slots that no run needs, as last told
+    int64_t slot_waits;    ///< adapters that wait for a slot, as last told
+    struct timespec slots_told;
     int64_t reported;       ///< running and waiting, by its last response
     int64_t in_flight_then; ///< of this entry at that time
     struct timespec reported_at;
 
+    GHashTable *copies; ///< adapter key to struct cm_copy
+
     int failures; ///< in a row
     struct timespec ejected_until;
     struct timespec agent_down_until;
@@ -54,13 +72,12 @@
 
 LIST_HEAD(cm_target_list, cm_live_target);
 
-/// All targets, and which adapters they are believed to hold.
+/// All targets.
 struct cm_targets {
     struct cm_target_list list;
     size_t count;
     const char *zone; ///< of this entry
     int agent_port;
-    GHashTable *holders; ///< adapter key to GPtrArray of struct cm_live_target
     GHashTable *versions; ///< adapter key to int64_t, announced versions
 };
 
--- a/packages/dispatch/include/dispatch/targets.h
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -45,14 +45,24 @@
 void
 CmTarget_Unref(struct cm_live_target *target);
 
-/// Notes that `target` holds an adapter, or no longer does.
+/// Notes that `target` was seen to hold an adapter, or not to hold it.
 void
-CmTargets_SetHolder(struct cm_targets *targets, const char *adapter,
-                    struct cm_live_target *target, bool holds);
+CmTarget_SetHolds(struct cm_live_target *target, const char *adapter,
+                  bool holds, struct timespec now);
 
-/// @return targets believed to hold `adapter`, or NULL.
-const GPtrArray *
-CmTargets_Holders(const struct cm_targets *targets, const char *adapter);
+/// The platform's list tells all adapters of a target: Begin, Listed for
+/// each, End. What is not listed counts as a copy outside the slots.
+void
+CmTarget_BeginHeld(struct cm_live_target *target);
+void
+CmTarget_ListedHeld(struct cm_live_target *target, const char *adapter,
+                    struct timespec now);
+void
+CmTarget_EndHeld(struct cm_live_target *target, struct timespec now);
+
+/// @return the copy of `adapter` at `target`, or NULL.
+const struct cm_copy *
+CmTarget_Copy(const struct cm_live_target *target, const char *adapter);
 
 /// Notes an announced version of an adapter; lower ones are ignored.
 void
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -2,10 +2,11 @@
 /// Chooses the target of one attempt.
 ///
 /// Load pattern: few very popular adapters and a long tail, with slots for
-/// only a few adapters an engine. Each adapter has an order of preference
-/// over all engines (rendezvous hashing), so that the tail stays warm where
-/// it was before; an engine further down is taken when those before it are
-/// busier by more than a load of the adapter costs.
+/// only a few adapters an engine, while the store bears only a few loads at
+/// once. An adapter's requests therefore stay where it is or has lately been;
+/// its first engine is the same for all entries (rendezvous hashing). A
+/// further engine fetches it only when those that have it are busier by more
+/// than such a load costs everybody.
 
 #include "dispatch/pick.h"
 
@@ -20,13 +21,20 @@
 /// Expected wait for each request that an engine has: prefill of one prompt
 /// shared with what else its batch does.
 #define ENGINE_REQUEST_MS 30.0
-/// Expected wait of a load from the engine's own copies, and from the store.
-#define WARM_LOAD_MS 60.0
-#define COLD_LOAD_MS 350.0
-/// Engines first in an adapter's order that are likely to keep a copy.
-#define WARM_HOMES 2
-/// Engines of an adapter's order that are weighed.
-#define HOMES_MAX 8
+/// Cost of a load from the engine's own copies, and from the store: the time
+/// it takes, and for the store also what it delays other loads.
+#define WARM_LOAD_MS 40.0
+#define COLD_LOAD_MS 600.0
+/// The same at the first engines of an adapter's order, which are likely to
+/// be asked for it again.
+#define HOMES 2
+static const double home_load_ms[HOMES] = {300.0, 350.0};
+/// Expected wait for one of an engine's slots to become free.
+#define SLOT_WAIT_MS 200.0
+/// Expected wait for each load that is due before.
+#define LOAD_WAIT_MS 150.0
+/// Age after which what an engine told of its slots is worth nothing.
+#define SLOTS_AGE_MS 800
 
 static bool
 was_tried(const struct cm_pick_request *request,
@@ -81,60 +89,92 @@
     }
 }
 
-/// One engine in an adapter's order of preference.
-struct ranked {
-    struct cm_live_target *target;
-    uint64_t score;
-};
+/// Expected wait at an engine before a request begins there.
+static double
+queue_cost(const struct cm_live_target *target, struct timespec now)
+{
+    return CmTarget_Load(target, now) * ENGINE_REQUEST_MS +
+           (target->same_zone ? 0 : OTHER_ZONE_MS);
+}
 
-/// Keeps the `HOMES_MAX` engines with the highest scores, best first.
-static void
-insert_ranked(struct ranked *ranked, size_t *n, struct ranked entry)
+/// Expected wait until a slot there can take another adapter.
+static double
+slot_cost(const struct cm_live_target *target, struct timespec now)
 {
-    size_t i = *n;
-    if (i == HOMES_MAX) {
-        if (ranked[i - 1].score >= entry.score) {
-            return;
-        }
-        i--;
+    double age = (double)CmTime_DiffMs(now, target->slots_told);
+    if (target->slots_told.tv_sec == 0 || age > SLOTS_AGE_MS) {
+        return 0;
     }
-    else {
-        (*n)++;
+    double wait = (target->free_slots > 0 ? 0 : SLOT_WAIT_MS) +
+                  LOAD_WAIT_MS * (double)target->slot_waits;
+    return wait * (1.0 - age / SLOTS_AGE_MS);
+}
+
+/// Cost of having the adapter in a slot there.
+/// @param rank place of the target in the adapter's order, if below HOMES.
+static double
+adapter_cost(const struct cm_copy *copy, const struct cm_live_target *target,
+             size_t rank, struct timespec now)
+{
+    if (copy != NULL && copy->held) {
+        return 0;
     }
-    for (; i > 0 && ranked[i - 1].score < entry.score; i--) {
-        ranked[i] = ranked[i - 1];
+    double slot = slot_cost(target, now);
+    if (copy != NULL && CmTime_DiffMs(now, copy->seen) < CM_COPY_WARM_MS) {
+        return slot + WARM_LOAD_MS;
     }
-    ranked[i] = entry;
+    return slot + (rank < HOMES ? home_load_ms[rank] : COLD_LOAD_MS);
 }
 
-static bool
-is_holder(const GPtrArray *holders, const struct cm_live_target *target)
+/// First engines in an adapter's order, best first.
+struct homes {
+    const struct cm_live_target *targets[HOMES];
+    uint64_t scores[HOMES];
+};
+
+static void
+add_home(struct homes *homes, const struct cm_live_target *target,
+         uint64_t score)
 {
-    for (guint i = 0; holders != NULL && i < holders->len; i++) {
-        if (g_ptr_array_index(holders, i) == target) {
-            return true;
+    size_t i = HOMES;
+    while (i > 0 &&
+           (homes->targets[i - 1] == NULL || homes->scores[i - 1] < score)) {
+        if (i < HOMES) {
+            homes->targets[i] = homes->targets[i - 1];
+            homes->scores[i] = homes->scores[i - 1];
         }
+        i--;
+    }
+    if (i < HOMES) {
+        homes->targets[i] = target;
+        homes->scores[i] = score;
     }
-    return false;
 }
 
-static double
-queue_cost(const struct cm_live_target *target, struct timespec now)
+static void
+find_homes(const struct cm_targets *targets,
+           const struct cm_pick_request *request, struct timespec now,
+           bool ejected, struct homes *homes)
 {
-    return CmTarget_Load(target, now) * ENGINE_REQUEST_MS +
-           (target->same_zone ? 0 : OTHER_ZONE_MS);
+    uint64_t seed = CmHash_Text(request->adapter, 1);
+    const struct cm_live_target *target;
+    CmList_FOREACH (target, &targets->list, link) {
+        if (is_candidate(target, request) && target->has_model &&
+            is_ejected(target, now) == ejected) {
+            add_home(homes, target,
+                     CmHash_Bytes(&target->hash, sizeof(target->hash), seed));
+        }
+    }
 }
 
-static void
-offer(struct cm_pick *pick, struct cm_live_target *target, double cost,
-      bool holds)
+static size_t
+home_rank(const struct homes *homes, const struct cm_live_target *target)
 {
-    pick->candidates++;
-    if (pick->target == NULL || cost < pick->cost_ms) {
-        pick->target = target;
-        pick->cost_ms = cost;
-        pick->holds = holds;
+    size_t rank = 0;
+    while (rank < HOMES && homes->targets[rank] != target) {
+        rank++;
     }
+    return rank;
 }
 
 static void
@@ -142,32 +182,29 @@
             const struct cm_pick_request *request, struct timespec now,
             bool ejected, struct cm_pick *pick)
 {
-    const GPtrArray *holders =
-        request->adapter != NULL ? CmTargets_Holders(targets, request->adapter)
-                                 : NULL;
-    uint64_t seed =
-        request->adapter != NULL ? CmHash_Text(request->adapter, 1) : 0;
-    struct ranked ranked[HOMES_MAX];
-    size_t n = 0;
+    const char *adapter = request->adapter;
+    struct homes homes = {0};
+    if (adapter != NULL) {
+        find_homes(targets, request, now, ejected, &homes);
+    }
     struct cm_live_target *target;
     CmList_FOREACH (target, &targets->list, link) {
         if (!is_candidate(target, request) || !target->has_model ||
             is_ejected(target, now) != ejected) {
             continue;
         }
-        if (request->adapter == NULL || is_holder(holders, target)) {
-            offer(pick, target, queue_cost(target, now),
-                  request->adapter != NULL);
-            continue;
+        const struct cm_copy *copy =
+            adapter != NULL ? CmTarget_Copy(target, adapter) : NULL;
+        double cost = queue_cost(target, now);
+        if (adapter != NULL) {
+            cost += adapter_cost(copy, target, home_rank(&homes, target), now);
+        }
+        pick->candidates++;
+        if (pick->target == NULL || cost < pick->cost_ms) {
+            pick->target = target;
+            pick->cost_ms = cost;
+            pick->holds = copy != NULL && copy->held;
         }
-        uint64_t score =
-            CmHash_Bytes(&target->hash, sizeof(target->hash), seed);
-        insert_ranked(ranked, &n, (struct ranked){target, score});
-    }
-    for (size_t i = 0; i < n; i++) {
-        double load_ms = i < WARM_HOMES ? WARM_LOAD_MS : COLD_LOAD_MS;
-        offer(pick, ranked[i].target,
-              queue_cost(ranked[i].target, now) + load_ms, false);
     }
 }
 
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -16,25 +16,11 @@
 /// Age after which a reported load is worth nothing: several service times.
 #define REPORT_AGE_MS 1000
 
-static void
-unref_target(void *target)
-{
-    CmTarget_Unref(target);
-}
-
-static void
-free_holders(void *holders)
-{
-    g_ptr_array_free(holders, TRUE);
-}
-
 void
 CmTargets_Init(struct cm_targets *targets, const char *zone, int agent_port)
 {
     *targets = (struct cm_targets){.zone = zone, .agent_port = agent_port};
     LIST_INIT(&targets->list);
-    targets->holders =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_holders);
     targets->versions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -42,7 +28,6 @@
 void
 CmTargets_Finish(struct cm_targets *targets)
 {
-    g_hash_table_destroy(targets->holders);
     g_hash_table_destroy(targets->versions);
     struct cm_live_target *target;
     while ((target = LIST_FIRST(&targets->list)) != NULL) {
@@ -68,6 +53,7 @@
     g_free(target->service);
     g_free(target->address);
     g_free(target->agent);
+    g_hash_table_destroy(target->copies);
     g_free(target);
 }
 
@@ -83,18 +69,9 @@
     return NULL;
 }
 
-static gboolean
-drop_from_holders(void *key, void *value, void *target)
-{
-    GPtrArray *holders = value;
-    g_ptr_array_remove(holders, target);
-    return holders->len == 0;
-}
-
 static void
 remove_target(struct cm_targets *targets, struct cm_live_target *target)
 {
-    g_hash_table_foreach_remove(targets->holders, drop_from_holders, target);
     LIST_REMOVE(target, link);
     targets->count--;
     target->gone = true;
@@ -115,6 +92,8 @@
     // The machine, not the incarnation: what it keeps on disk and in memory
     // outlives a restart of the engine.
     target->hash = CmHash_Text(info->address, 0);
+    target->copies =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     target->started_ms = info->started_ms;
     LIST_INSERT_HEAD(&targets->list, target, link);
     targets->count++;
@@ -184,30 +163,76 @@
     return removed;
 }
 
+static struct cm_copy *
+add_copy(struct cm_live_target *target, const char *adapter)
+{
+    struct cm_copy *copy = g_hash_table_lookup(target->copies, adapter);
+    if (copy == NULL) {
+        copy = g_new0(struct cm_copy, 1);
+        g_hash_table_insert(target->copies, g_strdup(adapter), copy);
+    }
+    return copy;
+}
+
 void
-CmTargets_SetHolder(struct cm_targets *targets, const char *adapter,
-                    struct cm_live_target *target, bool holds)
+CmTarget_SetHolds(struct cm_live_target *target, const char *adapter,
+                  bool holds, struct timespec now)
 {
-    GPtrArray *holders = g_hash_table_lookup(targets->holders, adapter);
-    if (holders != NULL) {
-        g_ptr_array_remove(holders, target);
+    if (holds) {
+        struct cm_copy *copy = add_copy(target, adapter);
+        copy->held = true;
+        copy->seen = now;
+        return;
     }
-    if (holds && !target->gone) {
-        if (holders == NULL) {
-            holders = g_ptr_array_new_with_free_func(unref_target);
-            g_hash_table_insert(targets->holders, g_strdup(adapter), holders);
-        }
-        g_ptr_array_add(holders, CmTarget_Ref(target));
+    struct cm_copy *copy = g_hash_table_lookup(target->copies, adapter);
+    if (copy != NULL) {
+        copy->held = false;
     }
-    else if (holders != NULL && holders->len == 0) {
-        g_hash_table_remove(targets->holders, adapter);
+}
+
+void
+CmTarget_BeginHeld(struct cm_live_target *target)
+{
+    GHashTableIter iter;
+    void *copy;
+    g_hash_table_iter_init(&iter, target->copies);
+    while (g_hash_table_iter_next(&iter, NULL, &copy)) {
+        ((struct cm_copy *)copy)->listed = false;
+    }
+}
+
+void
+CmTarget_ListedHeld(struct cm_live_target *target, const char *adapter,
+                    struct timespec now)
+{
+    struct cm_copy *copy = add_copy(target, adapter);
+    copy->listed = true;
+    copy->held = true;
+    copy->seen = now;
+}
+
+void
+CmTarget_EndHeld(struct cm_live_target *target, struct timespec now)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, target->copies);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct cm_copy *copy = value;
+        int64_t age_ms = CmTime_DiffMs(now, copy->seen);
+        if (!copy->listed && age_ms > CM_COPY_FRESH_MS) {
+            copy->held = false;
+        }
+        if (age_ms > CM_COPY_WARM_MS) {
+            g_hash_table_iter_remove(&iter);
+        }
     }
 }
 
-const GPtrArray *
-CmTargets_Holders(const struct cm_targets *targets, const char *adapter)
+const struct cm_copy *
+CmTarget_Copy(const struct cm_live_target *target, const char *adapter)
 {
-    return g_hash_table_lookup(targets->holders, adapter);
+    return g_hash_table_lookup(target->copies, adapter);
 }
 
 void
--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -34,9 +34,10 @@
 /// An agent answers.
 struct cm_lease_reply {
     enum cm_lease_outcome outcome;
-    int64_t version;    ///< of the adapter held
-    int64_t free_slots; ///< that no run needs
-    int64_t running;    ///< requests at the engine
+    int64_t version;          ///< of the adapter held
+    int64_t free_slots;       ///< that no run needs
+    int64_t waiting_adapters; ///< that wait for a slot
+    int64_t running;          ///< requests at the engine
     int64_t waiting;
 };
 
--- a/packages/residency/include/residency/residency.h
+++ b/packages/residency/include/residency/residency.h
@@ -52,6 +52,18 @@
 bool
 CmResidency_Busy(const struct cm_residency *residency);
 
+/// Appends the state of all slots, for the log.
+void
+CmResidency_Describe(const struct cm_residency *residency, GString *out);
+
+/// @return leases that wait.
+int64_t
+CmResidency_Waiting(const struct cm_residency *residency);
+
+/// @return adapters without a slot that leases wait for.
+int64_t
+CmResidency_WaitingAdapters(const struct cm_residency *residency);
+
 /// @return slots that hold nothing a run or a waiting request needs.
 int64_t
 CmResidency_FreeSlots(const struct cm_residency *residency);
--- a/packages/residency/include/residency/residency_defs.h
+++ b/packages/residency/include/residency/residency_defs.h
@@ -17,17 +17,36 @@
 #define CM_RESIDENCY_INCOMING_MAX 4
 /// Half-life of an adapter's use count: several requests of a popular one.
 #define CM_RESIDENCY_HALF_LIFE_MS 8000
+/// Adapters that may wait for their load; more would wait longer than a load
+/// at another engine takes.
+#define CM_RESIDENCY_QUEUE_MAX 3
+/// Loads from the store that one engine may have under way: the window opens
+/// while they take little more than the quickest one, and closes when the
+/// store slows down, which it does for all engines at once.
+#define CM_RESIDENCY_COLD_START 2.0
+#define CM_RESIDENCY_COLD_STEP 0.25
+#define CM_RESIDENCY_COLD_QUICK 1.25
+#define CM_RESIDENCY_COLD_SLOW 1.5
+/// Adapters that an engine keeps copies of outside its slots.
+#define CM_RESIDENCY_KEPT 30
+/// Time after which a replacement that has not shown is ordered again.
+#define CM_RESIDENCY_REPLACE_MS 1500
 
 /// One adapter in a slot, or on its way into one.
 struct cm_resident {
     LIST_ENTRY(cm_resident) link;
     char *adapter;
     int64_t version;
-    bool incoming; ///< not usable yet
-    bool reported; ///< seen in the report that is being read
-    int pins;      ///< runs that use it
-    double uses;   ///< decayed count
+    bool incoming;           ///< not usable yet
+    bool cold;               ///< its load comes from the store
+    struct timespec ordered; ///< when its load was ordered
+    bool reported;           ///< seen in the report that is being read
+    int pins;                ///< runs that use it
+    double uses;             ///< decayed count
     struct timespec used;
+    /// A newer version has been ordered; no new run begins until it is here.
+    bool replacing;
+    struct timespec replaced; ///< when that was ordered
 };
 
 struct cm_lease;
@@ -63,6 +82,9 @@
 
 struct cm_residency {
     int64_t slots;
+    double cold_window;       ///< loads from the store at once
+    int64_t cold_quickest_ms; ///< shortest load from the store so far
+    GQueue kept;              ///< names of adapters held lately, latest first
     LIST_HEAD(, cm_resident) residents;
     TAILQ_HEAD(, cm_lease) waiting;
     TAILQ_HEAD(, cm_lease) granted;
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -58,10 +58,11 @@
 CmLeaseReply_Encode(const struct cm_lease_reply *reply)
 {
     json_t *body = json_pack(
-        "{s:s,s:I,s:I,s:I,s:I}", "outcome", outcome_names[reply->outcome],
+        "{s:s,s:I,s:I,s:I,s:I,s:I}", "outcome", outcome_names[reply->outcome],
         "version", (json_int_t)reply->version, "free_slots",
-        (json_int_t)reply->free_slots, "running", (json_int_t)reply->running,
-        "waiting", (json_int_t)reply->waiting);
+        (json_int_t)reply->free_slots, "waiting_adapters",
+        (json_int_t)reply->waiting_adapters, "running",
+        (json_int_t)reply->running, "waiting", (json_int_t)reply->waiting);
     char *text = json_dumps(body, JSON_COMPACT);
     json_decref(body);
     return text;
@@ -75,17 +76,20 @@
     const char *outcome;
     json_int_t version;
     json_int_t free_slots;
+    json_int_t waiting_adapters;
     json_int_t running;
     json_int_t waiting;
     bool sound =
-        json_unpack(json, "{s:s,s:I,s:I,s:I,s:I}", "outcome", &outcome,
-                    "version", &version, "free_slots", &free_slots, "running",
-                    &running, "waiting", &waiting) == 0;
+        json_unpack(json, "{s:s,s:I,s:I,s:I,s:I,s:I}", "outcome", &outcome,
+                    "version", &version, "free_slots", &free_slots,
+                    "waiting_adapters", &waiting_adapters, "running", &running,
+                    "waiting", &waiting) == 0;
     bool known = false;
     for (size_t i = 0; sound && i < G_N_ELEMENTS(outcome_names); i++) {
         if (strcmp(outcome_names[i], outcome) == 0) {
-            *reply = (struct cm_lease_reply){(enum cm_lease_outcome)i, version,
-                                             free_slots, running, waiting};
+            *reply = (struct cm_lease_reply){
+                (enum cm_lease_outcome)i, version, free_slots,
+                waiting_adapters,         running, waiting};
             known = true;
         }
     }
--- a/packages/residency/src/residency.c
+++ b/packages/residency/src/residency.c
@@ -16,7 +16,9 @@
 void
 CmResidency_Init(struct cm_residency *residency, int64_t slots)
 {
-    *residency = (struct cm_residency){.slots = slots};
+    *residency = (struct cm_residency){.slots = slots,
+                                       .cold_window = CM_RESIDENCY_COLD_START};
+    g_queue_init(&residency->kept);
     LIST_INIT(&residency->residents);
     TAILQ_INIT(&residency->waiting);
     TAILQ_INIT(&residency->granted);
@@ -44,6 +46,35 @@
     CmList_FOREACH_SAFE (resident, &residency->residents, link, next) {
         remove_resident(residency, resident);
     }
+    g_queue_clear_full(&residency->kept, g_free);
+}
+
+static int
+same_name(const void *a, const void *b)
+{
+    return strcmp(a, b);
+}
+
+/// Remembers that the engine has held an adapter.
+static void
+keep(struct cm_residency *residency, const char *adapter)
+{
+    GList *known = g_queue_find_custom(&residency->kept, adapter, same_name);
+    if (known != NULL) {
+        g_queue_unlink(&residency->kept, known);
+        g_queue_push_head_link(&residency->kept, known);
+        return;
+    }
+    g_queue_push_head(&residency->kept, g_strdup(adapter));
+    if (g_queue_get_length(&residency->kept) > CM_RESIDENCY_KEPT) {
+        g_free(g_queue_pop_tail(&residency->kept));
+    }
+}
+
+static bool
+is_kept(struct cm_residency *residency, const char *adapter)
+{
+    return g_queue_find_custom(&residency->kept, adapter, same_name) != NULL;
 }
 
 static struct cm_resident *
@@ -131,20 +162,27 @@
     return true;
 }
 
+int64_t
+CmResidency_WaitingAdapters(const struct cm_residency *residency)
+{
+    int64_t waiting = 0;
+    const struct cm_lease *lease;
+    CmTailq_FOREACH (lease, &residency->waiting, link) {
+        waiting += find(residency, lease->adapter) == NULL &&
+                   is_first_of_its_adapter(residency, lease);
+    }
+    return waiting;
+}
+
 /// @return slots that are needed, or will be by the waiting leases.
 static int64_t
 needed_slots(const struct cm_residency *residency)
 {
-    int64_t needed = 0;
+    int64_t needed = CmResidency_WaitingAdapters(residency);
     const struct cm_resident *resident;
     CmList_FOREACH (resident, &residency->residents, link) {
         needed += is_needed(residency, resident);
     }
-    const struct cm_lease *lease;
-    CmTailq_FOREACH (lease, &residency->waiting, link) {
-        needed += find(residency, lease->adapter) == NULL &&
-                  is_first_of_its_adapter(residency, lease);
-    }
     return needed;
 }
 
@@ -161,7 +199,7 @@
         return CM_LEASE_GRANTED;
     }
     if (resident == NULL && !is_wanted(residency, lease->adapter) &&
-        needed_slots(residency) >= residency->slots) {
+        CmResidency_WaitingAdapters(residency) >= CM_RESIDENCY_QUEUE_MAX) {
         return CM_LEASE_PINNED;
     }
     struct cm_lease *before = NULL;
@@ -204,6 +242,25 @@
     }
 }
 
+/// A load from the store has ended: adapts the window of such loads.
+static void
+adapt_window(struct cm_residency *residency, int64_t took_ms)
+{
+    if (residency->cold_quickest_ms == 0 ||
+        took_ms < residency->cold_quickest_ms) {
+        residency->cold_quickest_ms = took_ms;
+    }
+    double ratio = (double)took_ms / (double)residency->cold_quickest_ms;
+    if (ratio < CM_RESIDENCY_COLD_QUICK) {
+        residency->cold_window =
+            MIN(residency->cold_window + CM_RESIDENCY_COLD_STEP,
+                CM_RESIDENCY_INCOMING_MAX);
+    }
+    else if (ratio > CM_RESIDENCY_COLD_SLOW) {
+        residency->cold_window = MAX(residency->cold_window / 2, 1.0);
+    }
+}
+
 void
 CmResidency_Reported(struct cm_residency *residency, const char *adapter,
                      int64_t version, bool incoming, struct timespec now)
@@ -213,7 +270,16 @@
         resident = add(residency, adapter, now);
     }
     resident->reported = true;
+    if (resident->incoming && resident->cold && !incoming) {
+        adapt_window(residency, CmTime_DiffMs(now, resident->ordered));
+    }
+    if (!incoming) {
+        keep(residency, adapter);
+    }
     resident->incoming = incoming;
+    if (resident->version != version) {
+        resident->replacing = false;
+    }
     resident->version = version;
 }
 
@@ -256,16 +322,25 @@
     return victim;
 }
 
+static bool
+is_being_replaced(const struct cm_resident *resident, struct timespec now)
+{
+    return resident->replacing &&
+           CmTime_DiffMs(now, resident->replaced) < CM_RESIDENCY_REPLACE_MS;
+}
+
 bool
 CmResidency_NextOrder(struct cm_residency *residency, struct timespec now,
                       struct cm_residency_order *order)
 {
     int64_t held = 0;
     int64_t incoming = 0;
+    int64_t cold = 0;
     struct cm_resident *resident;
     CmList_FOREACH (resident, &residency->residents, link) {
         held++;
         incoming += resident->incoming;
+        cold += resident->incoming && resident->cold;
     }
     if (incoming >= CM_RESIDENCY_INCOMING_MAX) {
         return false;
@@ -273,7 +348,12 @@
     const struct cm_lease *lease;
     CmTailq_FOREACH (lease, &residency->waiting, link) {
         resident = find(residency, lease->adapter);
-        if (resident != NULL && resident->incoming) {
+        if (resident != NULL &&
+            (resident->incoming || is_being_replaced(resident, now))) {
+            continue;
+        }
+        if ((double)cold + 1 > residency->cold_window &&
+            !is_kept(residency, lease->adapter)) {
             continue;
         }
         if (resident != NULL || held < residency->slots) {
@@ -303,8 +383,15 @@
         }
         return;
     }
+    if (resident != NULL && !resident->incoming) {
+        resident->replacing = true;
+        resident->replaced = now;
+        return;
+    }
     if (resident == NULL) {
         resident = add(residency, order->adapter, now);
+        resident->cold = !is_kept(residency, order->adapter);
+        resident->ordered = now;
     }
     resident->incoming = true;
 }
@@ -326,3 +413,29 @@
 {
     return MAX(residency->slots - needed_slots(residency), 0);
 }
+
+int64_t
+CmResidency_Waiting(const struct cm_residency *residency)
+{
+    int64_t waiting = 0;
+    const struct cm_lease *lease;
+    CmTailq_FOREACH (lease, &residency->waiting, link) {
+        waiting++;
+    }
+    return waiting;
+}
+
+void
+CmResidency_Describe(const struct cm_residency *residency, GString *out)
+{
+    const struct cm_resident *resident;
+    CmList_FOREACH (resident, &residency->residents, link) {
+        g_string_append_printf(
+            out, "%s:%s%d%s ", resident->adapter,
+            resident->incoming ? "incoming," : "", resident->pins,
+            is_wanted(residency, resident->adapter) ? ",wanted" : "");
+    }
+    g_string_append_printf(out, "waiting %d for %d adapters",
+                           (int)CmResidency_Waiting(residency),
+                           (int)CmResidency_WaitingAdapters(residency));
+}
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -91,8 +91,9 @@
         .outcome = outcome,
         .version = version,
         .free_slots = CmResidency_FreeSlots(&slots->residency),
-        .running = slots->engine.report.running,
-        .waiting = slots->engine.report.waiting,
+        .waiting_adapters = CmResidency_WaitingAdapters(&slots->residency),
+        .running = g_hash_table_size(slots->claims),
+        .waiting = CmResidency_Waiting(&slots->residency),
     };
     char *text = CmLeaseReply_Encode(&answer);
     write_answer(session, STATUS_OK, "application/json", text);
@@ -135,6 +136,16 @@
     next_call(session);
 }
 
+static void
+log_pinned(const struct slots *slots, const struct claim *claim)
+{
+    GString *state = g_string_new(NULL);
+    CmResidency_Describe(&slots->residency, state);
+    CmLog_Event(G_LOG_LEVEL_INFO, "lease", claim->id, "no slot for %s: %s",
+                claim->lease.adapter, state->str);
+    g_string_free(state, TRUE);
+}
+
 /// @return whether the answer follows later.
 static bool
 ask_lease(struct session *session, struct cm_lease_ask *ask)
@@ -167,6 +178,7 @@
         return true;
     default:
         slots->pinned.value++;
+        log_pinned(slots, claim);
         g_free(claim->lease.adapter);
         g_free(claim->id);
         g_free(claim);
--- a/programs/coriandermoor/gateway/feeds.c
+++ b/programs/coriandermoor/gateway/feeds.c
@@ -74,8 +74,7 @@
 on_listed_adapter(void *context, const char *adapter, int64_t version)
 {
     struct adapter_context *listed = context;
-    CmTargets_SetHolder(&listed->gateway->targets, adapter, listed->target,
-                        true);
+    CmTarget_ListedHeld(listed->target, adapter, Gateway_Now(listed->gateway));
 }
 
 static void
@@ -102,7 +101,9 @@
                     "%s at %s leaves: no new work", name, info.address);
     }
     struct adapter_context listed = {gateway, target};
+    CmTarget_BeginHeld(target);
     CmTargetCodec_Adapters(spec, on_listed_adapter, &listed);
+    CmTarget_EndHeld(target, Gateway_Now(gateway));
 }
 
 static void
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -17,13 +17,13 @@
 #include "probes.h"
 
 /// Interval of slow checks.
-#define TICK_MS 500
+#define TICK_MS 200
 /// Gateways among which the reserve of repeats is shared. More live gateways
 /// than this would be needed to exceed the bound on all of them.
 #define RESERVE_SHARES 6
-/// After this time of a planned stop the balancer has taken this gateway out
-/// and idle connections are closed.
-#define STOP_IDLE_MS 2500
+/// After this time of a planned stop the balancer has taken this gateway out:
+/// idle connections are closed and new ones no longer accepted.
+#define STOP_IDLE_MS 2300
 /// Left of the stop's time when what is still in progress is given up.
 #define STOP_MARGIN_MS 400
 #define MS_PER_S 1000
@@ -78,6 +78,7 @@
         CmTime_DiffMs(Gateway_Now(gateway), gateway->leaving_since);
     int64_t limit_ms = gateway->settings.stop_s * MS_PER_S - STOP_MARGIN_MS;
     if (since_ms >= STOP_IDLE_MS) {
+        CmH1Listener_Finish(&gateway->callers_listener);
         CallerConns_CloseIdle(gateway);
     }
     if (since_ms >= limit_ms ||
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -44,8 +44,10 @@
     struct timespec now = Gateway_Now(request->gateway);
     CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
     bool held = reply.outcome == CM_LEASE_OUTCOME_HELD;
-    CmTargets_SetHolder(&request->gateway->targets, request->asked.adapter,
-                        lease->target, held);
+    CmTarget_SetHolds(lease->target, request->asked.adapter, held, now);
+    lease->target->free_slots = reply.free_slots;
+    lease->target->slot_waits = reply.waiting_adapters;
+    lease->target->slots_told = now;
     *why = CmLeaseOutcome_Name(reply.outcome);
     return held;
 }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -14,7 +14,7 @@
 
 /// Longest wait for an adapter at one agent: a load from the store under
 /// contention; another engine is quicker after that.
-#define LEASE_WAIT_MS 900
+#define LEASE_WAIT_MS 2000
 /// Added for the agent's answer to arrive.
 #define LEASE_GRACE_MS 100
 /// Silence after which a stream that may be resumed goes on elsewhere: before
@@ -62,19 +62,31 @@
     g_free(request);
 }
 
+/// @return ms from the request's arrival to `then`, -1 if that never came.
+static int64_t
+since_arrival_ms(const struct request *request, struct timespec then)
+{
+    return then.tv_sec == 0 ? -1 : CmTime_DiffMs(then, request->arrived);
+}
+
 static void
 log_end(const struct request *request, const char *outcome, int status,
         const char *reason)
 {
-    int64_t took_ms =
-        CmTime_DiffMs(Gateway_Now(request->gateway), request->arrived);
-    CmLog_Event(
-        G_LOG_LEVEL_INFO, "answer", request->asked.id,
-        "%s %d after %" PRId64 " ms, route %s, %d sends, target %s%s%s",
-        outcome, status, took_ms,
-        request->route != NULL ? request->route->name : "-", request->sends,
-        request->attempt.target != NULL ? request->attempt.target->id : "-",
-        reason[0] != '\0' ? ": " : "", reason);
+    const struct cm_live_target *target = request->attempt.target;
+    CmLog_Event(G_LOG_LEVEL_INFO, "answer", request->asked.id,
+                "%s %d after %" PRId64 " ms, sent at %" PRId64
+                ", first event at %" PRId64
+                ", route %s, adapter %s, %d sends, %zu tried, target %s%s%s",
+                outcome, status,
+                since_arrival_ms(request, Gateway_Now(request->gateway)),
+                since_arrival_ms(request, request->attempt.sent),
+                since_arrival_ms(request, request->first_event),
+                request->route != NULL ? request->route->name : "-",
+                request->asked.adapter != NULL ? request->asked.adapter : "-",
+                request->sends, request->n_tried,
+                target != NULL ? target->id : "-",
+                reason[0] != '\0' ? ": " : "", reason);
 }
 
 /// Ends the request after its answer has been written.
@@ -375,6 +387,9 @@
     if (events->len > 0) {
         request->phase = REQUEST_STREAMING;
         request->last_event = Gateway_Now(request->gateway);
+        if (request->first_event.tv_sec == 0) {
+            request->first_event = request->last_event;
+        }
         write_events(request, events);
         set_progress_timer(request);
     }
@@ -453,8 +468,7 @@
         CmTarget_Failed(target, now);
     }
     if (request->attempt.answer.wrong && request->asked.adapter != NULL) {
-        CmTargets_SetHolder(&request->gateway->targets, request->asked.adapter,
-                            target, false);
+        CmTarget_SetHolds(target, request->asked.adapter, false, now);
     }
     add_tried(request, target);
     CmTarget_Unref(target);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -56,6 +56,7 @@
     struct lease lease;
     struct attempt attempt;
     struct cm_events events;
+    struct timespec first_event;
     struct timespec last_event;
     struct cm_live_target *tried[CM_TRIED_MAX];
     size_t n_tried;
