--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -16,6 +16,7 @@
 /// A gateway asks for an adapter.
 struct cm_lease_ask {
     char *id;         ///< of the request
+    char *target;     ///< incarnation of the engine that is meant
     char *model;      ///< base model
     char *adapter;    ///< key MODEL/NAME; NULL to have only the model loaded
     int64_t version;  ///< at least; 0 for any
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -12,7 +12,8 @@
 CmLeaseAsk_Encode(const struct cm_lease_ask *ask)
 {
     json_t *body = json_pack(
-        "{s:s,s:s,s:s*,s:I,s:I,s:I,s:I}", "id", ask->id, "model", ask->model,
+        "{s:s,s:s,s:s,s:s*,s:I,s:I,s:I,s:I}", "id", ask->id, "target",
+        ask->target, "model", ask->model,
         "adapter", ask->adapter, "version", (json_int_t)ask->version,
         "priority", (json_int_t)ask->priority, "slots", (json_int_t)ask->slots,
         "wait_ms", (json_int_t)ask->wait_ms);
@@ -26,19 +27,21 @@
 {
     json_t *json = json_loadb(body, size, 0, NULL);
     const char *id;
+    const char *target;
     const char *model;
     const char *adapter = NULL;
     json_int_t version;
     json_int_t priority;
     json_int_t slots;
     json_int_t wait_ms;
-    bool sound = json_unpack(json, "{s:s,s:s,s?s,s:I,s:I,s:I,s:I}", "id", &id,
+    bool sound = json_unpack(json, "{s:s,s:s,s:s,s?s,s:I,s:I,s:I,s:I}", "id", &id,
+                    "target", &target,
                              "model", &model, "adapter", &adapter, "version",
                              &version, "priority", &priority, "slots", &slots,
                              "wait_ms", &wait_ms) == 0;
     if (sound) {
         *ask = (struct cm_lease_ask){
-            g_strdup(id), g_strdup(model), g_strdup(adapter),
+            g_strdup(id), g_strdup(target), g_strdup(model), g_strdup(adapter),
             version,      priority,        slots,
             wait_ms};
     }
@@ -50,6 +53,7 @@
 CmLeaseAsk_Finish(struct cm_lease_ask *ask)
 {
     g_clear_pointer(&ask->id, g_free);
+    g_clear_pointer(&ask->target, g_free);
     g_clear_pointer(&ask->model, g_free);
     g_clear_pointer(&ask->adapter, g_free);
 }
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -223,6 +223,11 @@
     CmH1Writer_Request(message, "POST", CM_WIRE_ORDER_PATH);
     CmH1Writer_Header(message, "Host", slots->settings.engine);
     CmH1Writer_Header(message, "Content-Type", "application/json");
+    if (slots->engine.target != NULL) {
+        // A late order must not reach the engine's next incarnation.
+        CmH1Writer_Header(message, CM_WIRE_EXPECT_TARGET,
+                          slots->engine.target);
+    }
     CmH1Writer_Body(message, body, strlen(body));
     free(body);
     slots->orders.value++;
@@ -334,6 +339,7 @@
     g_string_free(engine->body, TRUE);
     g_free(engine->order.adapter);
     g_free(engine->model);
+    g_free(engine->target);
 }
 
 void
@@ -342,14 +348,21 @@
     next_step(slots);
 }
 
+static void
+replace_text(char **text, const char *value)
+{
+    if (g_strcmp0(*text, value) != 0) {
+        g_free(*text);
+        *text = g_strdup(value);
+    }
+}
+
 void
-Engine_WantModel(struct slots *slots, const char *model)
+Engine_Want(struct slots *slots, const char *target, const char *model)
 {
     struct engine *engine = &slots->engine;
-    if (engine->model == NULL || strcmp(engine->model, model) != 0) {
-        g_free(engine->model);
-        engine->model = g_strdup(model);
-    }
+    replace_text(&engine->target, target);
+    replace_text(&engine->model, model);
     if (!engine->has_model) {
         next_step(slots);
     }
--- a/programs/coriandermoor-agent/slots/engine.h
+++ b/programs/coriandermoor-agent/slots/engine.h
@@ -18,9 +18,9 @@
 void
 Engine_Wake(struct slots *slots);
 
-/// Gateways want this base model loaded.
+/// Gateways mean this incarnation of the engine, with this base model.
 void
-Engine_WantModel(struct slots *slots, const char *model);
+Engine_Want(struct slots *slots, const char *target, const char *model);
 
 /// @return whether the engine answers and holds its base model.
 bool
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -199,7 +199,7 @@
         return false;
     }
     slots->leases.value++;
-    Engine_WantModel(slots, ask.model);
+    Engine_Want(slots, ask.target, ask.model);
     bool later = false;
     if (ask.adapter == NULL || !Engine_Serves(slots) ||
         strchr(ask.adapter, '/') == NULL) {
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -68,6 +68,7 @@
     struct event *interrupt;
     struct event *hangup;
     struct event *tick;
+    unsigned ticks;
     struct gateway_counters count;
 };
 
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -18,6 +18,8 @@
 
 /// Interval of slow checks.
 #define TICK_MS 200
+/// Ticks between two questions for missing base models.
+#define MODEL_TICKS 4
 /// Gateways among which the reserve of repeats is shared. More live gateways
 /// than this would be needed to exceed the bound on all of them.
 #define RESERVE_SHARES 6
@@ -91,7 +93,9 @@
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     struct gateway *gateway = context;
-    ask_for_models(gateway);
+    if (++gateway->ticks % MODEL_TICKS == 0) {
+        ask_for_models(gateway);
+    }
     check_stop(gateway);
 }
 
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -104,6 +104,7 @@
         CmCatalog_Service(request->catalog, request->service);
     struct cm_lease_ask ask = {
         .id = request->asked.id,
+        .target = target->id,
         .model = request->asked.model,
         .adapter = request->asked.adapter,
         .version =
@@ -213,7 +214,8 @@
 Lease_AskForModel(struct gateway *gateway, struct cm_live_target *target,
                   const char *model)
 {
-    struct cm_lease_ask ask = {.id = "", .model = (char *)model};
+    struct cm_lease_ask ask = {
+        .id = "", .target = target->id, .model = (char *)model};
     char *body = CmLeaseAsk_Encode(&ask);
     send_notice(gateway, target->agent, CM_LEASE_PATH, body);
     free(body);
