--- /dev/null
+++ b/packages/dispatch/tests/pick_test.c
@@ -0,0 +1,231 @@
+/// @file pick_test.c
+/// Placing: each case is one load pattern.
+
+#include "dispatch/pick.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "cm_test.h"
+#include "base/clock.h"
+
+#define ENGINES 6
+
+/// What one engine looks like to the entry.
+struct engine_state {
+    bool held;      ///< the adapter is in a slot
+    bool warm;      ///< it has lately been in one
+    int in_flight;  ///< requests of this entry
+    int free_slots; ///< -1 if never told
+    int slot_waits; ///< adapters that wait there
+    bool draining;
+    bool no_model;
+    bool ejected;
+};
+
+static struct timespec
+now(void)
+{
+    return (struct timespec){.tv_sec = 1000};
+}
+
+static struct cm_live_target *
+add_engine(struct cm_targets *targets, int i, const struct engine_state *state)
+{
+    char id[16];
+    char address[32];
+    snprintf(id, sizeof(id), "e%d", i);
+    snprintf(address, sizeof(address), "10.0.0.%d:80", i + 1);
+    struct cm_target_info info = {
+        .id = id,
+        .service = "s",
+        .address = address,
+        .zone = "a",
+        .slots = 64,
+        .draining = state->draining,
+        .has_model = !state->no_model,
+    };
+    struct cm_live_target *target = CmTargets_Update(targets, &info);
+    if (state->held || state->warm) {
+        CmTarget_SetHolds(target, "m/x", true, now());
+        CmTarget_SetHolds(target, "m/x", state->held, now());
+    }
+    target->in_flight = state->in_flight;
+    if (state->free_slots >= 0) {
+        target->free_slots = state->free_slots;
+        target->slot_waits = state->slot_waits;
+        target->slots_told = now();
+    }
+    if (state->ejected) {
+        target->ejected_until = CmTime_AddMs(now(), 1000);
+    }
+    return target;
+}
+
+/// @return number of the engine picked, or -1.
+static int
+pick_among(const struct engine_state *states, size_t n, const char *adapter)
+{
+    struct cm_targets targets;
+    CmTargets_Init(&targets, "a", 7000);
+    for (size_t i = 0; i < n; i++) {
+        add_engine(&targets, (int)i, &states[i]);
+    }
+    struct cm_pick_request request = {
+        .service = "s", .adapter = adapter, .tokens = 1000};
+    struct cm_pick pick;
+    CmPick_Engine(&targets, &request, now(), &pick);
+    int picked = pick.target != NULL ? pick.target->id[1] - '0' : -1;
+    CmTargets_Finish(&targets);
+    return picked;
+}
+
+static void
+test_one_of_two(void)
+{
+    static const struct {
+        const char *pattern;
+        struct engine_state states[2];
+        int picked;
+    } cases[] = {
+        {"where the adapter is", {{.held = true}, {0}}, 0},
+        {"where it lately was", {{0}, {.warm = true}}, 1},
+        {"a busy holder before a load from the store",
+         {{.held = true, .in_flight = 5}, {.free_slots = 5}},
+         0},
+        {"a very busy holder is relieved",
+         {{.held = true, .in_flight = 30}, {.free_slots = 5}},
+         1},
+        {"a copy that waits for a slot before a load from the store",
+         {{.warm = true, .free_slots = 0}, {.free_slots = 5}},
+         0},
+        {"a copy behind a queue of loads is passed over",
+         {{.warm = true, .free_slots = 0, .slot_waits = 4},
+          {.warm = true, .in_flight = 3, .free_slots = 5}},
+         1},
+        {"a leaving engine gets nothing",
+         {{.held = true, .draining = true}, {0}},
+         1},
+        {"an engine without its model gets nothing",
+         {{.held = true, .no_model = true}, {0}},
+         1},
+        {"an ejected engine gets nothing",
+         {{.held = true, .ejected = true}, {0}},
+         1},
+        {"unless all are ejected",
+         {{.held = true, .ejected = true}, {.ejected = true}},
+         0},
+        {"none is left", {{.draining = true}, {.draining = true}}, -1},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        int picked = pick_among(cases[i].states, 2, "m/x");
+        if (picked != cases[i].picked) {
+            printf("\n%s: %d\n", cases[i].pattern, picked);
+        }
+        CU_ASSERT_EQUAL(picked, cases[i].picked);
+    }
+}
+
+/// All entries agree on an adapter's first engine, and adapters spread.
+static void
+test_homes(void)
+{
+    static const struct engine_state idle[ENGINES] = {{0}};
+    int homes[ENGINES] = {0};
+    for (int i = 0; i < 600; i++) {
+        char adapter[16];
+        snprintf(adapter, sizeof(adapter), "m/a%d", i);
+        int first = pick_among(idle, ENGINES, adapter);
+        CU_ASSERT_EQUAL(pick_among(idle, ENGINES, adapter), first);
+        homes[first]++;
+    }
+    for (int i = 0; i < ENGINES; i++) {
+        CU_ASSERT(homes[i] > 60);
+        CU_ASSERT(homes[i] < 140);
+    }
+}
+
+static void
+test_plain(void)
+{
+    static const struct {
+        const char *pattern;
+        const char *zones[2];
+        int in_flight[2];
+        bool ejected[2];
+        int picked;
+    } cases[] = {
+        {"its own zone among equals", {"b", "a"}, {0, 0}, {false, false}, 1},
+        {"the less loaded one", {"b", "a"}, {0, 5}, {false, false}, 0},
+        {"one that fails is left out", {"b", "a"}, {3, 0}, {false, true}, 0},
+        {"unless both fail", {"b", "a"}, {0, 0}, {true, true}, 1},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_targets targets;
+        CmTargets_Init(&targets, "a", 7000);
+        for (int t = 0; t < 2; t++) {
+            char id[8];
+            snprintf(id, sizeof(id), "e%d", t);
+            struct cm_target_info info = {.id = id,
+                                          .service = "s",
+                                          .address = "10.0.0.1:80",
+                                          .zone = cases[i].zones[t],
+                                          .slots = 6};
+            struct cm_live_target *target = CmTargets_Update(&targets, &info);
+            target->in_flight = cases[i].in_flight[t];
+            if (cases[i].ejected[t]) {
+                target->ejected_until = CmTime_AddMs(now(), 1000);
+            }
+        }
+        struct cm_pick_request request = {.service = "s"};
+        struct cm_pick pick;
+        CmPick_Plain(&targets, &request, now(), &pick);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(pick.target);
+        CU_ASSERT_EQUAL(pick.target->id[1] - '0', cases[i].picked);
+        CmTargets_Finish(&targets);
+    }
+}
+
+/// The list is complete: who is missing is gone, who has another start or
+/// address is another target.
+static void
+test_list(void)
+{
+    struct cm_targets targets;
+    CmTargets_Init(&targets, "a", 7000);
+    struct cm_target_info info = {.id = "e0",
+                                  .service = "s",
+                                  .address = "10.0.0.1:80",
+                                  .zone = "a",
+                                  .slots = 1,
+                                  .started_ms = 5};
+    struct cm_live_target *first = CmTargets_Update(&targets, &info);
+    CU_ASSERT_STRING_EQUAL(first->agent, "10.0.0.1:7000");
+    CmTarget_Ref(first);
+    info.started_ms = 6;
+    struct cm_live_target *second = CmTargets_Update(&targets, &info);
+    CU_ASSERT_PTR_NOT_EQUAL(first, second);
+    CU_ASSERT(first->gone);
+    CmTarget_Unref(first);
+    info.id = "e1";
+    info.address = "10.0.0.2:80";
+    CmTargets_Update(&targets, &info);
+    CmTargets_BeginList(&targets);
+    CmTargets_Update(&targets, &info);
+    CU_ASSERT_EQUAL(CmTargets_EndList(&targets), 1);
+    CU_ASSERT_PTR_NULL(CmTargets_Find(&targets, "e0"));
+    info.draining = true;
+    CmTargets_Update(&targets, &info);
+    info.draining = false;
+    CU_ASSERT(CmTargets_Update(&targets, &info)->draining);
+    CmTargets_Finish(&targets);
+}
+
+static const struct cm_test tests[] = {
+    {"one of two engines", test_one_of_two},
+    {"first engines", test_homes},
+    {"plain services", test_plain},
+    {"the platform's list", test_list},
+};
+
+CM_TEST_MAIN("pick", tests)
--- a/packages/h1/src/conn.c
+++ b/packages/h1/src/conn.c
@@ -123,6 +123,20 @@
            parser->status_code == STATUS_NOT_MODIFIED;
 }
 
+/// http-parser lets blanks in names pass, which other readers take for
+/// another header.
+static bool
+has_blank_in_name(const struct cm_h1_head *head)
+{
+    for (size_t i = 0; i < CmH1Head_Count(head); i++) {
+        const char *value;
+        if (strpbrk(CmH1Head_Field(head, i, &value), " \t") != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static int
 on_headers(http_parser *parser)
 {
@@ -131,6 +145,9 @@
         close_text(io);
         io->in_value = false;
     }
+    if (has_blank_in_name(&io->head)) {
+        return -1;
+    }
     io->head.status = parser->status_code;
     io->head.method = http_method_str((enum http_method)parser->method);
     io->head.keep_alive =
--- /dev/null
+++ b/packages/residency/tests/residency_test.c
@@ -0,0 +1,359 @@
+/// @file residency_test.c
+/// Slots of one engine: loads, evictions, pins, the window of store loads,
+/// replacements, and a random run against an engine that crashes if it is
+/// told to hold too much.
+
+#include "residency/residency.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "cm_test.h"
+#include "base/clock.h"
+#include "residency/lease_message.h"
+
+#define SLOTS 3
+
+static int notified;
+
+static void
+on_granted(struct cm_lease *lease)
+{
+    notified++;
+}
+
+static struct cm_lease
+lease_for(const char *adapter, int64_t version)
+{
+    return (struct cm_lease){
+        .adapter = (char *)adapter, .version = version, .notify = on_granted};
+}
+
+static struct timespec
+at(int64_t ms)
+{
+    return CmTime_AddMs((struct timespec){.tv_sec = 1000}, ms);
+}
+
+/// Reports `adapters` ("a", "b+" for one on its way, "c2" for version 2).
+static void
+report(struct cm_residency *residency, const char *const *adapters, size_t n,
+       struct timespec now)
+{
+    CmResidency_BeginReport(residency);
+    for (size_t i = 0; i < n; i++) {
+        char name[8];
+        g_strlcpy(name, adapters[i], sizeof(name));
+        size_t last = strlen(name) - 1;
+        bool incoming = name[last] == '+';
+        int64_t version = g_ascii_isdigit(name[last]) ? name[last] - '0' : 1;
+        if (incoming || g_ascii_isdigit(name[last])) {
+            name[last] = '\0';
+        }
+        CmResidency_Reported(residency, name, version, incoming, now);
+    }
+    CmResidency_EndReport(residency, now);
+}
+
+/// @return the next order as text: "+a", "-a" or "".
+static const char *
+next_order(struct cm_residency *residency, struct timespec now)
+{
+    static char text[16];
+    struct cm_residency_order order;
+    text[0] = '\0';
+    if (CmResidency_NextOrder(residency, now, &order)) {
+        snprintf(text, sizeof(text), "%c%s", order.load ? '+' : '-',
+                 order.adapter);
+        CmResidency_Ordered(residency, &order, !order.load, now);
+        g_free(order.adapter);
+    }
+    return text;
+}
+
+static void
+test_grant_when_loaded(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, SLOTS);
+    struct cm_lease one = lease_for("a", 0);
+    struct cm_lease two = lease_for("a", 0);
+    notified = 0;
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &one, at(0)), CM_LEASE_WAITS);
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &two, at(0)), CM_LEASE_WAITS);
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(0)), "+a");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(1)), "");
+    static const char *const coming[] = {"a+"};
+    report(&residency, coming, 1, at(20));
+    CU_ASSERT_EQUAL(notified, 0);
+    static const char *const here[] = {"a"};
+    report(&residency, here, 1, at(250));
+    CU_ASSERT_EQUAL(notified, 2);
+    CmResidency_Release(&residency, &one);
+    CmResidency_Release(&residency, &two);
+    CmResidency_Finish(&residency);
+}
+
+/// The adapter with the fewest recent uses makes room; a pinned one or one
+/// that is waited for never does.
+static void
+test_victim(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, SLOTS);
+    static const char *const full[] = {"a", "b", "c"};
+    report(&residency, full, 3, at(0));
+    struct cm_lease pin = lease_for("a", 0);
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &pin, at(1)),
+                    CM_LEASE_GRANTED);
+    struct cm_lease used = lease_for("b", 0);
+    CmResidency_Ask(&residency, &used, at(2));
+    CmResidency_Release(&residency, &used);
+    struct cm_lease wanted = lease_for("d", 0);
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &wanted, at(3)),
+                    CM_LEASE_WAITS);
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(3)), "-c");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(4)), "+d");
+    struct cm_lease more = lease_for("e", 0);
+    CmResidency_Ask(&residency, &more, at(5));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(5)), "-b");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(6)), "+e");
+    struct cm_lease last = lease_for("f", 0);
+    CmResidency_Ask(&residency, &last, at(7));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(8)), "");
+    CmResidency_Finish(&residency);
+}
+
+/// Many cold adapters at once: only a window of store loads is under way,
+/// copies that the engine has kept go past it, and what would wait behind too
+/// many loads is sent elsewhere.
+static void
+test_window(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, 8);
+    static const char *const kept[] = {"k"};
+    report(&residency, kept, 1, at(0));
+    report(&residency, NULL, 0, at(1));
+    struct cm_lease leases[5];
+    static const char *const names[] = {"a", "b", "c", "d", "k"};
+    static const enum cm_lease_result results[] = {
+        CM_LEASE_WAITS, CM_LEASE_WAITS, CM_LEASE_WAITS, CM_LEASE_PINNED,
+        CM_LEASE_WAITS};
+    for (size_t i = 0; i < 4; i++) {
+        leases[i] = lease_for(names[i], 0);
+        CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &leases[i], at(2)),
+                        results[i]);
+    }
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "+a");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "+b");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "");
+    leases[4] = lease_for("k", 0);
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &leases[4], at(3)),
+                    CM_LEASE_WAITS);
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(3)), "+k");
+    CmResidency_Finish(&residency);
+}
+
+/// The window follows how long loads take.
+static void
+test_window_adapts(void)
+{
+    static const struct {
+        int64_t took_ms[4];
+        double window;
+    } cases[] = {
+        {{250, 250, 250, 250}, 3.0},
+        {{250, 500, 500, 500}, 1.0},
+        {{250, 330, 330, 330}, 2.25},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_residency residency;
+        CmResidency_Init(&residency, SLOTS);
+        int64_t time = 0;
+        for (size_t load = 0; load < 4; load++) {
+            char name[] = {(char)('a' + load), '\0'};
+            struct cm_lease lease = lease_for(name, 0);
+            CmResidency_Ask(&residency, &lease, at(time));
+            next_order(&residency, at(time));
+            time += cases[i].took_ms[load];
+            const char *const here[] = {name};
+            report(&residency, here, 1, at(time));
+            CmResidency_Release(&residency, &lease);
+        }
+        CU_ASSERT_DOUBLE_EQUAL(residency.cold_window, cases[i].window, 0.01);
+        CmResidency_Finish(&residency);
+    }
+}
+
+/// A newer version is ordered once and waited for; nothing is granted before.
+static void
+test_replacement(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, SLOTS);
+    static const char *const old[] = {"a1"};
+    report(&residency, old, 1, at(0));
+    struct cm_lease lease = lease_for("a", 2);
+    notified = 0;
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &lease, at(1)),
+                    CM_LEASE_WAITS);
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(1)), "+a");
+    report(&residency, old, 1, at(20));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(21)), "");
+    CU_ASSERT_EQUAL(notified, 0);
+    static const char *const new[] = {"a2"};
+    report(&residency, new, 1, at(300));
+    CU_ASSERT_EQUAL(notified, 1);
+    CmResidency_Release(&residency, &lease);
+    CmResidency_Finish(&residency);
+}
+
+/// Leases of urgent requests go before others.
+static void
+test_priority(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, 1);
+    struct cm_lease low = lease_for("a", 0);
+    low.priority = 1;
+    struct cm_lease high = lease_for("b", 0);
+    CmResidency_Ask(&residency, &low, at(0));
+    CmResidency_Ask(&residency, &high, at(1));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "+b");
+    CmResidency_Finish(&residency);
+}
+
+#define RUN_ADAPTERS 12
+#define RUN_LEASES 40
+
+/// An engine in the small: what it holds and what is on its way.
+struct fake_engine {
+    char held[SLOTS];
+    int64_t ready_at[SLOTS]; ///< -1 if it is there
+    size_t count;
+};
+
+static void
+carry_out(struct fake_engine *engine, const struct cm_residency_order *order,
+          int64_t now)
+{
+    char name = order->adapter[0];
+    size_t i = 0;
+    while (i < engine->count && engine->held[i] != name) {
+        i++;
+    }
+    if (order->load) {
+        CU_ASSERT_EQUAL(i, engine->count);
+        CU_ASSERT_FATAL(engine->count < SLOTS);
+        engine->held[engine->count] = name;
+        engine->ready_at[engine->count++] = now + 100;
+        return;
+    }
+    CU_ASSERT_FATAL(i < engine->count);
+    engine->held[i] = engine->held[--engine->count];
+    engine->ready_at[i] = engine->ready_at[engine->count];
+}
+
+static void
+report_engine(struct cm_residency *residency, struct fake_engine *engine,
+              int64_t now)
+{
+    CmResidency_BeginReport(residency);
+    for (size_t i = 0; i < engine->count; i++) {
+        char name[] = {engine->held[i], '\0'};
+        CmResidency_Reported(residency, name, 1, engine->ready_at[i] > now,
+                             at(now));
+    }
+    CmResidency_EndReport(residency, at(now));
+}
+
+/// A random run: the engine is never told to hold more than it can, a pinned
+/// adapter is never unloaded, and every lease that waits is granted.
+static void
+test_random_run(void)
+{
+    for (guint32 seed = 1; seed <= 20; seed++) {
+        GRand *random = g_rand_new_with_seed(seed);
+        struct cm_residency residency;
+        CmResidency_Init(&residency, SLOTS);
+        struct fake_engine engine = {0};
+        struct cm_lease leases[RUN_LEASES];
+        char names[RUN_LEASES][2];
+        int64_t until[RUN_LEASES];
+        bool active[RUN_LEASES] = {false};
+        for (int64_t now = 0; now < 60000; now += 20) {
+            int i = g_rand_int_range(random, 0, RUN_LEASES);
+            if (!active[i] && now < 50000) {
+                names[i][0] =
+                    (char)('a' + g_rand_int_range(random, 0, RUN_ADAPTERS));
+                names[i][1] = '\0';
+                leases[i] = lease_for(names[i], 0);
+                active[i] = CmResidency_Ask(&residency, &leases[i], at(now)) !=
+                            CM_LEASE_PINNED;
+                until[i] = now + g_rand_int_range(random, 20, 400);
+            }
+            struct cm_residency_order order;
+            while (CmResidency_NextOrder(&residency, at(now), &order)) {
+                carry_out(&engine, &order, now);
+                CmResidency_Ordered(&residency, &order, !order.load, at(now));
+                for (int l = 0; l < RUN_LEASES; l++) {
+                    CU_ASSERT(order.load || !active[l] || !leases[l].granted ||
+                              strcmp(names[l], order.adapter) != 0);
+                }
+                g_free(order.adapter);
+            }
+            report_engine(&residency, &engine, now);
+            for (int l = 0; l < RUN_LEASES; l++) {
+                if (active[l] && leases[l].granted && now >= until[l]) {
+                    CmResidency_Release(&residency, &leases[l]);
+                    active[l] = false;
+                }
+            }
+        }
+        CU_ASSERT_EQUAL(CmResidency_Waiting(&residency), 0);
+        CmResidency_Finish(&residency);
+        g_rand_free(random);
+    }
+}
+
+static void
+test_messages(void)
+{
+    struct cm_lease_ask ask = {"r1", "i-1", "m", "m/a", 2, 1, 5, 300};
+    char *text = CmLeaseAsk_Encode(&ask);
+    struct cm_lease_ask read;
+    CU_ASSERT_FATAL(CmLeaseAsk_Decode(&read, text, strlen(text)));
+    CU_ASSERT_STRING_EQUAL(read.adapter, "m/a");
+    CU_ASSERT_STRING_EQUAL(read.target, "i-1");
+    CU_ASSERT_EQUAL(read.wait_ms, 300);
+    CmLeaseAsk_Finish(&read);
+    free(text);
+    struct cm_lease_reply reply = {CM_LEASE_OUTCOME_LATE, 1, 2, 3, 4, 5};
+    text = CmLeaseReply_Encode(&reply);
+    struct cm_lease_reply answer;
+    CU_ASSERT_FATAL(CmLeaseReply_Decode(&answer, text, strlen(text)));
+    CU_ASSERT_EQUAL(memcmp(&answer, &reply, sizeof(reply)), 0);
+    free(text);
+    static const char *const broken[] = {"", "{}", "[1]", "{\"id\": 3}",
+                                         "{\"outcome\": \"perhaps\"}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+        CU_ASSERT_FALSE(
+            CmLeaseAsk_Decode(&read, broken[i], strlen(broken[i])));
+        CU_ASSERT_FALSE(
+            CmLeaseReply_Decode(&answer, broken[i], strlen(broken[i])));
+    }
+}
+
+static const struct cm_test tests[] = {
+    {"granted when loaded", test_grant_when_loaded},
+    {"who makes room", test_victim},
+    {"window of store loads", test_window},
+    {"window adapts", test_window_adapts},
+    {"replacement", test_replacement},
+    {"priority", test_priority},
+    {"random run", test_random_run},
+    {"messages", test_messages},
+};
+
+CM_TEST_MAIN("residency", tests)
