feat(gateway,platform): outages are noticed by all feeds at once; placing by backlog

Change: feeds share one store; the first that is answered again restarts the others, whose calls begin short until then; calls come at a pace taken from the drain bound. Placing counts the prompts ahead (agents tell theirs); a silent target is left only for another one; a stop answers what it gives up; the reserve of repeats is shared among the gateways that agents count.

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -26,6 +26,8 @@
 /// Time for which a target is likely to keep a copy of an adapter that has
 /// left its slots: it keeps some thirty, and fetches one or two a second.
 #define CM_COPY_WARM_MS 20000
+/// Prompt tokens that an engine reads in a ms while it also generates.
+#define CM_PREFILL_TOKENS_PER_MS 18.0
 /// Age of a grant beyond which the platform's list is believed instead.
 #define CM_COPY_FRESH_MS 2000
 
@@ -36,6 +38,14 @@
     struct timespec seen; ///< last known to be in a slot
 };
 
+/// What an agent last told of its engine; adapted to what was sent since.
+struct cm_slots_told {
+    int64_t free_slots;       ///< adapter slots that no run needs
+    int64_t waiting_adapters; ///< that wait for a slot
+    double backlog_ms;        ///< time that prompts ahead take to be read
+    struct timespec at;       ///< 0 for never
+};
+
 /// One target.
 struct cm_live_target {
     LIST_ENTRY(cm_live_target) link;
@@ -53,13 +63,10 @@
     int references; ///< the table and each attempt
     bool gone;      ///< no longer in the table
 
-    int64_t in_flight;     ///< of this entry
-    double prefill_tokens; ///< sent by this entry and not begun
-    int64_t free_slots;    ///< adapter slots that no run needs, as last told
-    int64_t slot_waits;    ///< adapters that wait for a slot, as last told
-    struct timespec slots_told;
-    int64_t reported;       ///< running and waiting, by its last response
-    int64_t in_flight_then; ///< of this entry at that time
+    int64_t in_flight;         ///< of this entry
+    struct cm_slots_told told; ///< by its agent
+    int64_t reported;          ///< running and waiting, by its last response
+    int64_t in_flight_then;    ///< of this entry at that time
     struct timespec reported_at;
 
     GHashTable *copies; ///< adapter key to struct cm_copy
--- a/packages/dispatch/include/dispatch/targets.h
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -82,6 +82,15 @@
 double
 CmTarget_Load(const struct cm_live_target *target, struct timespec now);
 
+/// A prompt of `tokens` was sent to an engine.
+void
+CmTarget_SentPrompt(struct cm_live_target *target, int64_t tokens,
+                    struct timespec now);
+
+/// @return time that the prompts ahead take to be read, in ms.
+double
+CmTarget_BacklogMs(const struct cm_live_target *target, struct timespec now);
+
 /// An attempt ended well, or by the target's fault.
 void
 CmTarget_Succeeded(struct cm_live_target *target);
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -18,9 +18,11 @@
 /// Cost of a way to another zone, as wait: keeps traffic in the zone while
 /// targets are about equally busy.
 #define OTHER_ZONE_MS 3.0
-/// Expected wait for each request that an engine has: prefill of one prompt
-/// shared with what else its batch does.
-#define ENGINE_REQUEST_MS 30.0
+/// Expected wait for each request that an engine runs: its part of a step,
+/// and its part of the prompts that are being read.
+#define ENGINE_REQUEST_MS 15.0
+/// The same for a plain target with all its slots taken.
+#define PLAIN_FULL_MS 30.0
 /// Cost of a load from the engine's own copies, and from the store: the time
 /// it takes, and for the store also what it delays other loads.
 #define WARM_LOAD_MS 40.0
@@ -77,7 +79,7 @@
         }
         pick->candidates++;
         double slots = (double)MAX(target->slots, 1);
-        double cost = CmTarget_Load(target, now) / slots * ENGINE_REQUEST_MS +
+        double cost = CmTarget_Load(target, now) / slots * PLAIN_FULL_MS +
                       (target->same_zone ? 0 : OTHER_ZONE_MS);
         bool ejected = is_ejected(target, now);
         if (pick->target == NULL || (best_ejected && !ejected) ||
@@ -93,7 +95,8 @@
 static double
 queue_cost(const struct cm_live_target *target, struct timespec now)
 {
-    return CmTarget_Load(target, now) * ENGINE_REQUEST_MS +
+    return CmTarget_BacklogMs(target, now) +
+           CmTarget_Load(target, now) * ENGINE_REQUEST_MS +
            (target->same_zone ? 0 : OTHER_ZONE_MS);
 }
 
@@ -101,12 +104,12 @@
 static double
 slot_cost(const struct cm_live_target *target, struct timespec now)
 {
-    double age = (double)CmTime_DiffMs(now, target->slots_told);
-    if (target->slots_told.tv_sec == 0 || age > SLOTS_AGE_MS) {
+    double age = (double)CmTime_DiffMs(now, target->told.at);
+    if (target->told.at.tv_sec == 0 || age > SLOTS_AGE_MS) {
         return 0;
     }
-    double wait = (target->free_slots > 0 ? 0 : SLOT_WAIT_MS) +
-                  LOAD_WAIT_MS * (double)target->slot_waits;
+    double wait = (target->told.free_slots > 0 ? 0 : SLOT_WAIT_MS) +
+                  LOAD_WAIT_MS * (double)target->told.waiting_adapters;
     return wait * (1.0 - age / SLOTS_AGE_MS);
 }
 
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -276,6 +276,24 @@
     return (double)target->in_flight + others * weight;
 }
 
+double
+CmTarget_BacklogMs(const struct cm_live_target *target, struct timespec now)
+{
+    double age_ms = (double)CmTime_DiffMs(now, target->told.at);
+    return MAX(target->told.backlog_ms - age_ms, 0);
+}
+
+void
+CmTarget_SentPrompt(struct cm_live_target *target, int64_t tokens,
+                    struct timespec now)
+{
+    double before = CmTarget_BacklogMs(target, now);
+    double age_ms = (double)CmTime_DiffMs(now, target->told.at);
+    // Kept as of the time the agent told the rest.
+    target->told.backlog_ms =
+        before + age_ms + (double)tokens / CM_PREFILL_TOKENS_PER_MS;
+}
+
 void
 CmTarget_Succeeded(struct cm_live_target *target)
 {
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -52,9 +52,9 @@
     }
     target->in_flight = state->in_flight;
     if (state->free_slots >= 0) {
-        target->free_slots = state->free_slots;
-        target->slot_waits = state->slot_waits;
-        target->slots_told = now();
+        target->told.free_slots = state->free_slots;
+        target->told.waiting_adapters = state->slot_waits;
+        target->told.at = now();
     }
     if (state->ejected) {
         target->ejected_until = CmTime_AddMs(now(), 1000);
--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -16,11 +16,13 @@
 /// A gateway asks for an adapter.
 struct cm_lease_ask {
     char *id;         ///< of the request
+    char *gateway;    ///< name of the asking process
     char *target;     ///< incarnation of the engine that is meant
     char *model;      ///< base model
     char *adapter;    ///< key MODEL/NAME; NULL to have only the model loaded
     int64_t version;  ///< at least; 0 for any
     int64_t priority; ///< 0 is the most urgent
+    int64_t tokens;   ///< of the prompt
     int64_t slots;    ///< adapters the engine may hold
     int64_t wait_ms;  ///< for how long the gateway waits
 };
@@ -38,6 +40,8 @@
     int64_t version;          ///< of the adapter held
     int64_t free_slots;       ///< that no run needs
     int64_t waiting_adapters; ///< that wait for a slot
+    int64_t backlog_ms;       ///< time that prompts ahead take to be read
+    int64_t gateways;         ///< that have asked lately
     int64_t running;          ///< requests at the engine
     int64_t waiting;
 };
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -12,11 +12,11 @@
 CmLeaseAsk_Encode(const struct cm_lease_ask *ask)
 {
     json_t *body = json_pack(
-        "{s:s,s:s,s:s,s:s*,s:I,s:I,s:I,s:I}", "id", ask->id, "target",
-        ask->target, "model", ask->model,
-        "adapter", ask->adapter, "version", (json_int_t)ask->version,
-        "priority", (json_int_t)ask->priority, "slots", (json_int_t)ask->slots,
-        "wait_ms", (json_int_t)ask->wait_ms);
+        "{s:s,s:s,s:s,s:s,s:s*,s:I,s:I,s:I,s:I,s:I}", "id", ask->id, "gateway",
+        ask->gateway, "target", ask->target, "model", ask->model, "adapter",
+        ask->adapter, "version", (json_int_t)ask->version, "priority",
+        (json_int_t)ask->priority, "tokens", (json_int_t)ask->tokens, "slots",
+        (json_int_t)ask->slots, "wait_ms", (json_int_t)ask->wait_ms);
     char *text = json_dumps(body, JSON_COMPACT);
     json_decref(body);
     return text;
@@ -27,23 +27,34 @@
 {
     json_t *json = json_loadb(body, size, 0, NULL);
     const char *id;
+    const char *gateway;
     const char *target;
     const char *model;
     const char *adapter = NULL;
     json_int_t version;
     json_int_t priority;
+    json_int_t tokens;
     json_int_t slots;
     json_int_t wait_ms;
-    bool sound = json_unpack(json, "{s:s,s:s,s:s,s?s,s:I,s:I,s:I,s:I}", "id", &id,
-                    "target", &target,
-                             "model", &model, "adapter", &adapter, "version",
-                             &version, "priority", &priority, "slots", &slots,
-                             "wait_ms", &wait_ms) == 0;
+    bool sound =
+        json_unpack(json, "{s:s,s:s,s:s,s:s,s?s,s:I,s:I,s:I,s:I,s:I}", "id",
+                    &id, "gateway", &gateway, "target", &target, "model",
+                    &model, "adapter", &adapter, "version", &version,
+                    "priority", &priority, "tokens", &tokens, "slots", &slots,
+                    "wait_ms", &wait_ms) == 0;
     if (sound) {
         *ask = (struct cm_lease_ask){
-            g_strdup(id), g_strdup(target), g_strdup(model), g_strdup(adapter),
-            version,      priority,        slots,
-            wait_ms};
+            .id = g_strdup(id),
+            .gateway = g_strdup(gateway),
+            .target = g_strdup(target),
+            .model = g_strdup(model),
+            .adapter = g_strdup(adapter),
+            .version = version,
+            .priority = priority,
+            .tokens = tokens,
+            .slots = slots,
+            .wait_ms = wait_ms,
+        };
     }
     json_decref(json);
     return sound;
@@ -53,52 +64,69 @@
 CmLeaseAsk_Finish(struct cm_lease_ask *ask)
 {
     g_clear_pointer(&ask->id, g_free);
+    g_clear_pointer(&ask->gateway, g_free);
     g_clear_pointer(&ask->target, g_free);
     g_clear_pointer(&ask->model, g_free);
     g_clear_pointer(&ask->adapter, g_free);
 }
 
+/// The numbers of an answer by name, so that both directions agree.
+static const struct {
+    const char *name;
+    size_t offset;
+} reply_numbers[] = {
+    {"version", offsetof(struct cm_lease_reply, version)},
+    {"free_slots", offsetof(struct cm_lease_reply, free_slots)},
+    {"waiting_adapters", offsetof(struct cm_lease_reply, waiting_adapters)},
+    {"backlog_ms", offsetof(struct cm_lease_reply, backlog_ms)},
+    {"gateways", offsetof(struct cm_lease_reply, gateways)},
+    {"running", offsetof(struct cm_lease_reply, running)},
+    {"waiting", offsetof(struct cm_lease_reply, waiting)},
+};
+
 char *
 CmLeaseReply_Encode(const struct cm_lease_reply *reply)
 {
-    json_t *body = json_pack(
-        "{s:s,s:I,s:I,s:I,s:I,s:I}", "outcome", outcome_names[reply->outcome],
-        "version", (json_int_t)reply->version, "free_slots",
-        (json_int_t)reply->free_slots, "waiting_adapters",
-        (json_int_t)reply->waiting_adapters, "running",
-        (json_int_t)reply->running, "waiting", (json_int_t)reply->waiting);
+    json_t *body =
+        json_pack("{s:s}", "outcome", outcome_names[reply->outcome]);
+    for (size_t i = 0; i < G_N_ELEMENTS(reply_numbers); i++) {
+        const int64_t *number =
+            (const void *)((const char *)reply + reply_numbers[i].offset);
+        json_object_set_new(body, reply_numbers[i].name,
+                            json_integer(*number));
+    }
     char *text = json_dumps(body, JSON_COMPACT);
     json_decref(body);
     return text;
 }
 
+static bool
+decode_outcome(const char *name, enum cm_lease_outcome *outcome)
+{
+    for (size_t i = 0; name != NULL && i < G_N_ELEMENTS(outcome_names); i++) {
+        if (strcmp(outcome_names[i], name) == 0) {
+            *outcome = (enum cm_lease_outcome)i;
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 CmLeaseReply_Decode(struct cm_lease_reply *reply, const char *body,
                     size_t size)
 {
     json_t *json = json_loadb(body, size, 0, NULL);
-    const char *outcome;
-    json_int_t version;
-    json_int_t free_slots;
-    json_int_t waiting_adapters;
-    json_int_t running;
-    json_int_t waiting;
-    bool sound =
-        json_unpack(json, "{s:s,s:I,s:I,s:I,s:I,s:I}", "outcome", &outcome,
-                    "version", &version, "free_slots", &free_slots,
-                    "waiting_adapters", &waiting_adapters, "running", &running,
-                    "waiting", &waiting) == 0;
-    bool known = false;
-    for (size_t i = 0; sound && i < G_N_ELEMENTS(outcome_names); i++) {
-        if (strcmp(outcome_names[i], outcome) == 0) {
-            *reply = (struct cm_lease_reply){
-                (enum cm_lease_outcome)i, version, free_slots,
-                waiting_adapters,         running, waiting};
-            known = true;
-        }
+    bool sound = decode_outcome(
+        json_string_value(json_object_get(json, "outcome")), &reply->outcome);
+    for (size_t i = 0; sound && i < G_N_ELEMENTS(reply_numbers); i++) {
+        const json_t *number = json_object_get(json, reply_numbers[i].name);
+        int64_t *value = (void *)((char *)reply + reply_numbers[i].offset);
+        sound = json_is_integer(number);
+        *value = json_integer_value(number);
     }
     json_decref(json);
-    return known;
+    return sound;
 }
 
 const char *
--- a/packages/residency/tests/residency_test.c
+++ b/packages/residency/tests/residency_test.c
@@ -320,7 +320,8 @@
 static void
 test_messages(void)
 {
-    struct cm_lease_ask ask = {"r1", "i-1", "m", "m/a", 2, 1, 5, 300};
+    struct cm_lease_ask ask = {"r1", "g", "i-1", "m", "m/a",
+                               2,    1,   900,   5,   300};
     char *text = CmLeaseAsk_Encode(&ask);
     struct cm_lease_ask read;
     CU_ASSERT_FATAL(CmLeaseAsk_Decode(&read, text, strlen(text)));
@@ -329,9 +330,9 @@
     CU_ASSERT_EQUAL(read.wait_ms, 300);
     CmLeaseAsk_Finish(&read);
     free(text);
-    struct cm_lease_reply reply = {CM_LEASE_OUTCOME_LATE, 1, 2, 3, 4, 5};
+    struct cm_lease_reply reply = {CM_LEASE_OUTCOME_LATE, 1, 2, 3, 4, 5, 6, 7};
     text = CmLeaseReply_Encode(&reply);
-    struct cm_lease_reply answer;
+    struct cm_lease_reply answer = {0};
     CU_ASSERT_FATAL(CmLeaseReply_Decode(&answer, text, strlen(text)));
     CU_ASSERT_EQUAL(memcmp(&answer, &reply, sizeof(reply)), 0);
     free(text);
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "dispatch/target_defs.h"
 #include "engine.h"
 #include "h1/conn.h"
 #include "h1/writer.h"
@@ -14,6 +15,8 @@
 
 /// A claim that no gateway ends is given up after the longest stream.
 #define CLAIM_MAX_MS 20000
+/// A gateway that has not asked for this long does not count as live.
+#define GATEWAY_SILENT_MS 10000
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
@@ -33,6 +36,7 @@
     struct slots *slots;
     struct session *session; ///< while it waits
     char *id;
+    int64_t tokens;
     struct event *timer;
 };
 
@@ -83,6 +87,22 @@
     }
 }
 
+/// @return time that the prompts of granted leases take to be read.
+static double
+backlog_ms(const struct slots *slots)
+{
+    double age_ms = (double)CmTime_DiffMs(Slots_Now(slots), slots->backlog_at);
+    return MAX(slots->backlog_ms - age_ms, 0);
+}
+
+static void
+add_backlog(struct slots *slots, int64_t tokens)
+{
+    slots->backlog_ms =
+        backlog_ms(slots) + (double)tokens / CM_PREFILL_TOKENS_PER_MS;
+    slots->backlog_at = Slots_Now(slots);
+}
+
 static void
 reply(struct session *session, enum cm_lease_outcome outcome, int64_t version)
 {
@@ -92,6 +112,8 @@
         .version = version,
         .free_slots = CmResidency_FreeSlots(&slots->residency),
         .waiting_adapters = CmResidency_WaitingAdapters(&slots->residency),
+        .backlog_ms = (int64_t)backlog_ms(slots),
+        .gateways = g_hash_table_size(slots->gateways),
         .running = g_hash_table_size(slots->claims),
         .waiting = CmResidency_Waiting(&slots->residency),
     };
@@ -105,6 +127,7 @@
 {
     struct slots *slots = claim->slots;
     slots->granted.value++;
+    add_backlog(slots, claim->tokens);
     if (claim->timer != NULL) {
         event_free(claim->timer);
         claim->timer = NULL;
@@ -118,9 +141,9 @@
 {
     struct claim *claim = lease->context;
     struct session *session = claim->session;
-    hold(claim);
     session->waiting = NULL;
     reply(session, CM_LEASE_OUTCOME_HELD, lease->resident->version);
+    hold(claim);
     next_call(session);
 }
 
@@ -154,6 +177,7 @@
     struct claim *claim = g_new0(struct claim, 1);
     claim->slots = slots;
     claim->id = g_steal_pointer(&ask->id);
+    claim->tokens = ask->tokens;
     claim->lease = (struct cm_lease){
         .adapter = g_steal_pointer(&ask->adapter),
         .version = ask->version,
@@ -165,8 +189,8 @@
         CmResidency_Ask(&slots->residency, &claim->lease, Slots_Now(slots));
     switch (result) {
     case CM_LEASE_GRANTED:
-        hold(claim);
         reply(session, CM_LEASE_OUTCOME_HELD, claim->lease.resident->version);
+        hold(claim);
         return false;
     case CM_LEASE_WAITS:
         claim->session = session;
@@ -187,6 +211,14 @@
     }
 }
 
+static void
+note_gateway(struct slots *slots, const char *name)
+{
+    struct timespec *asked = g_new(struct timespec, 1);
+    *asked = Slots_Now(slots);
+    g_hash_table_replace(slots->gateways, g_strdup(name), asked);
+}
+
 /// @return whether the answer follows later.
 static bool
 handle_lease(struct session *session)
@@ -199,6 +231,7 @@
         return false;
     }
     slots->leases.value++;
+    note_gateway(slots, ask.gateway);
     Engine_Want(slots, ask.target, ask.model);
     bool later = false;
     if (ask.adapter == NULL || !Engine_Serves(slots) ||
@@ -303,6 +336,8 @@
     const struct cm_slots_settings *settings = &slots->settings;
     slots->claims =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_claim);
+    slots->gateways =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return CmH1Listener_Init(&slots->gateways_listener, slots->base,
                              settings->listen, on_accept, slots, error) &&
            CmH1Listener_Init(&slots->admin_listener, slots->base,
@@ -319,6 +354,7 @@
         on_end(session, CM_H1_CLOSED);
     }
     g_hash_table_destroy(slots->claims);
+    g_hash_table_destroy(slots->gateways);
 }
 
 static gboolean
@@ -329,10 +365,18 @@
            CLAIM_MAX_MS;
 }
 
+static gboolean
+has_fallen_silent(void *key, void *value, void *now)
+{
+    return CmTime_DiffMs(*(struct timespec *)now,
+                         *(const struct timespec *)value) > GATEWAY_SILENT_MS;
+}
+
 void
 Gateways_Sweep(struct slots *slots)
 {
     struct timespec now = Slots_Now(slots);
+    g_hash_table_foreach_remove(slots->gateways, has_fallen_silent, &now);
     guint ended = g_hash_table_foreach_remove(slots->claims, is_overdue, &now);
     if (ended > 0) {
         CmLog_Event(G_LOG_LEVEL_INFO, "lease", NULL,
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -42,7 +42,7 @@
     bool stale;   ///< an order was given since the last report
     int failures; ///< in a row
     int64_t fence;
-    char *model; ///< that gateways want loaded, or NULL
+    char *model;  ///< that gateways want loaded, or NULL
     char *target; ///< incarnation that gateways mean, or NULL
     struct timespec no_model_until; ///< no order for the model before
 };
@@ -57,7 +57,10 @@
     struct cm_h1_listener gateways_listener;
     struct cm_h1_listener admin_listener;
     LIST_HEAD(, session) sessions;
-    GHashTable *claims; ///< request id to struct claim, held ones
+    GHashTable *claims;   ///< request id to struct claim, held ones
+    GHashTable *gateways; ///< name to struct timespec, last asked
+    double backlog_ms;    ///< of prompts, as of `backlog_at`
+    struct timespec backlog_at;
     struct event *term;
     struct event *interrupt;
     struct event *hangup;
--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -162,6 +162,18 @@
     }
 }
 
+void
+CallerConns_StopRequests(struct gateway *gateway)
+{
+    struct caller *caller;
+    struct caller *next;
+    CmTailq_FOREACH_SAFE (caller, &gateway->callers, link, next) {
+        if (caller->request != NULL) {
+            Request_Stop(caller->request);
+        }
+    }
+}
+
 void
 CallerConns_CloseIdle(struct gateway *gateway)
 {
--- a/programs/coriandermoor/gateway/caller_conns.h
+++ b/programs/coriandermoor/gateway/caller_conns.h
@@ -29,6 +29,10 @@
 void
 CallerConns_Finish(struct gateway *gateway);
 
+/// The process stops: answers all requests in progress.
+void
+CallerConns_StopRequests(struct gateway *gateway);
+
 /// Closes connections that wait for a request.
 void
 CallerConns_CloseIdle(struct gateway *gateway);
--- a/programs/coriandermoor/gateway/feeds.c
+++ b/programs/coriandermoor/gateway/feeds.c
@@ -13,10 +13,15 @@
 /// Pause between two watches of the configuration: a storm of changes still
 /// comes into force well within its bound.
 #define CATALOG_GAP_MS 50
-/// Pause between two watches of the targets, whose entries change with each
-/// of their heartbeats; a leaving target is noticed well within its bound.
-#define TARGET_GAP_MS 300
-#define VERSION_GAP_MS 200
+/// Longest wait of the rare changes; an outage is noticed by the targets'.
+#define RARE_WAIT_MS 15000
+#define VERSION_GAP_MS 300
+/// Pause between two watches of the targets, whose entries change with their
+/// heartbeats, as a part of the time within which a leaving one must be known.
+#define TARGET_GAP_SHARE 0.4
+/// Longest wait for a change of the targets; the watch shows that the store
+/// answers.
+#define TARGET_WAIT_MS 800
 /// Time for entries that lapsed during an outage of the store to come back.
 #define RETURN_WAIT_MS 2500
 
@@ -179,15 +184,20 @@
         on_targets_begin, on_target, on_target_removed, on_targets_listed};
     static const struct cm_store_listener versions = {
         NULL, on_version, on_version_removed, NULL};
-    const char *store = gateway->settings.store;
+    struct cm_store_pace rare = {CATALOG_GAP_MS, RARE_WAIT_MS};
+    struct cm_store_pace version = {VERSION_GAP_MS, RARE_WAIT_MS};
+    struct cm_store_pace target = {
+        (int64_t)((double)gateway->settings.drain_ms * TARGET_GAP_SHARE),
+        TARGET_WAIT_MS};
+    struct cm_store *store = &gateway->store;
     gateway->removal = evtimer_new(gateway->base, on_removal, gateway);
-    CmStoreFeed_Init(&gateway->catalog_feed, &gateway->pool, store,
-                     CM_WIRE_KIND_CONFIG, CATALOG_GAP_MS, &catalogs, gateway);
-    CmStoreFeed_Init(&gateway->target_feed, &gateway->pool, store,
-                     CM_WIRE_KIND_TARGETS, TARGET_GAP_MS, &targets, gateway);
-    CmStoreFeed_Init(&gateway->version_feed, &gateway->pool, store,
-                     CM_WIRE_KIND_VERSIONS, VERSION_GAP_MS, &versions,
-                     gateway);
+    CmStore_Init(store, &gateway->pool, gateway->settings.store);
+    CmStoreFeed_Init(&gateway->catalog_feed, store, CM_WIRE_KIND_CONFIG, rare,
+                     &catalogs, gateway);
+    CmStoreFeed_Init(&gateway->target_feed, store, CM_WIRE_KIND_TARGETS,
+                     target, &targets, gateway);
+    CmStoreFeed_Init(&gateway->version_feed, store, CM_WIRE_KIND_VERSIONS,
+                     version, &versions, gateway);
 }
 
 void
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -50,7 +50,10 @@
     struct cm_catalog *catalog; ///< NULL until a configuration is known
     GHashTable *budgets;        ///< service name to struct cm_budget
     GRand *random;
+    int64_t gateways; ///< live ones, as agents count them
+    struct timespec gateways_heard;
 
+    struct cm_store store;
     struct cm_store_feed catalog_feed;
     struct cm_store_feed target_feed;
     struct cm_store_feed version_feed;
@@ -76,6 +79,10 @@
 struct timespec
 Gateway_Now(const struct gateway *gateway);
 
+/// An agent tells how many gateways have asked it lately.
+void
+Gateway_HeardOfGateways(struct gateway *gateway, int64_t count);
+
 /// @return the budget of repeated sends to `service`.
 struct cm_budget *
 Gateway_Budget(struct gateway *gateway, const char *service);
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -20,14 +20,18 @@
 #define TICK_MS 200
 /// Ticks between two questions for missing base models.
 #define MODEL_TICKS 4
-/// Gateways among which the reserve of repeats is shared. More live gateways
-/// than this would be needed to exceed the bound on all of them.
-#define RESERVE_SHARES 6
+/// Gateways assumed until an agent has told how many there are: the reserve of
+/// repeats is shared among all.
+#define GATEWAYS_UNKNOWN 32
+/// Time for which the highest count heard of holds.
+#define GATEWAYS_HEARD_MS 10000
 /// After this time of a planned stop the balancer has taken this gateway out:
 /// idle connections are closed and new ones no longer accepted.
 #define STOP_IDLE_MS 2300
 /// Left of the stop's time when what is still in progress is given up.
-#define STOP_MARGIN_MS 400
+#define STOP_MARGIN_MS 500
+/// Time for the last answers to leave the process.
+#define STOP_LINGER_MS 50
 #define MS_PER_S 1000
 
 struct timespec
@@ -36,18 +40,32 @@
     return CmClock_Now(gateway->clock);
 }
 
+void
+Gateway_HeardOfGateways(struct gateway *gateway, int64_t count)
+{
+    struct timespec now = Gateway_Now(gateway);
+    bool first = gateway->gateways_heard.tv_sec == 0;
+    if (first || count >= gateway->gateways ||
+        CmTime_DiffMs(now, gateway->gateways_heard) > GATEWAYS_HEARD_MS) {
+        gateway->gateways = MAX(count, 1);
+        gateway->gateways_heard = now;
+    }
+}
+
 struct cm_budget *
 Gateway_Budget(struct gateway *gateway, const char *service)
 {
+    const struct cm_gateway_settings *settings = &gateway->settings;
     struct cm_budget *budget = g_hash_table_lookup(gateway->budgets, service);
     if (budget == NULL) {
-        const struct cm_gateway_settings *settings = &gateway->settings;
         budget = g_new(struct cm_budget, 1);
-        CmBudget_Init(budget, settings->retry_ratio,
-                      (double)settings->retry_reserve / RESERVE_SHARES,
+        CmBudget_Init(budget, settings->retry_ratio, 0,
                       settings->retry_window_s * MS_PER_S);
         g_hash_table_insert(gateway->budgets, g_strdup(service), budget);
     }
+    // One more than are known of, as one may just be starting.
+    budget->reserve =
+        (double)settings->retry_reserve / (double)(gateway->gateways + 1);
     return budget;
 }
 
@@ -83,9 +101,13 @@
         CmH1Listener_Finish(&gateway->callers_listener);
         CallerConns_CloseIdle(gateway);
     }
-    if (since_ms >= limit_ms ||
-        (since_ms >= STOP_IDLE_MS && gateway->n_requests == 0)) {
-        event_base_loopbreak(gateway->base);
+    if (since_ms >= limit_ms) {
+        CallerConns_StopRequests(gateway);
+    }
+    if (since_ms >= STOP_IDLE_MS && gateway->n_requests == 0) {
+        // What was answered last has still to leave the process.
+        struct timeval linger = CmTime_Timeval(STOP_LINGER_MS);
+        event_base_loopexit(gateway->base, &linger);
     }
 }
 
@@ -126,6 +148,7 @@
     gateway->clock = CmClock_System();
     gateway->base = event_base_new();
     gateway->random = g_rand_new();
+    gateway->gateways = GATEWAYS_UNKNOWN;
     gateway->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     TAILQ_INIT(&gateway->callers);
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -42,12 +42,15 @@
         return false;
     }
     struct timespec now = Gateway_Now(request->gateway);
-    CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
     bool held = reply.outcome == CM_LEASE_OUTCOME_HELD;
+    struct cm_slots_told told = {.free_slots = reply.free_slots,
+                                 .waiting_adapters = reply.waiting_adapters,
+                                 .backlog_ms = (double)reply.backlog_ms,
+                                 .at = now};
+    CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
     CmTarget_SetHolds(lease->target, request->asked.adapter, held, now);
-    lease->target->free_slots = reply.free_slots;
-    lease->target->slot_waits = reply.waiting_adapters;
-    lease->target->slots_told = now;
+    lease->target->told = told;
+    Gateway_HeardOfGateways(request->gateway, reply.gateways);
     *why = CmLeaseOutcome_Name(reply.outcome);
     return held;
 }
@@ -104,7 +107,9 @@
         CmCatalog_Service(request->catalog, request->service);
     struct cm_lease_ask ask = {
         .id = request->asked.id,
+        .gateway = (char *)gateway->settings.common.name,
         .target = target->id,
+        .tokens = request->asked.tokens,
         .model = request->asked.model,
         .adapter = request->asked.adapter,
         .version =
@@ -214,8 +219,11 @@
 Lease_AskForModel(struct gateway *gateway, struct cm_live_target *target,
                   const char *model)
 {
-    struct cm_lease_ask ask = {
-        .id = "", .target = target->id, .model = (char *)model};
+    struct cm_lease_ask ask = {.id = "",
+                               .gateway =
+                                   (char *)gateway->settings.common.name,
+                               .target = target->id,
+                               .model = (char *)model};
     char *body = CmLeaseAsk_Encode(&ask);
     send_notice(gateway, target->agent, CM_LEASE_PATH, body);
     free(body);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -17,6 +17,8 @@
 #define LEASE_WAIT_MS 2000
 /// Added for the agent's answer to arrive.
 #define LEASE_GRACE_MS 100
+/// Time for which an agent that did not answer is left alone.
+#define AGENT_DOWN_MS 1000
 /// Silence after which a stream that may be resumed goes on elsewhere: before
 /// its first event, several prefills; then several times the slowest step.
 #define FIRST_EVENT_SILENCE_MS 1300
@@ -525,6 +527,47 @@
     answer_own(request, STATUS_UNAVAILABLE, "no target was free in time");
 }
 
+/// @return whether another target could take the request now.
+static bool
+can_move(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    struct timespec now = Gateway_Now(gateway);
+    struct cm_live_target *tried[CM_TRIED_MAX + 1];
+    memcpy(tried, request->tried, sizeof(request->tried));
+    tried[request->n_tried] = request->attempt.target;
+    struct cm_pick_request wanted = {
+        .service = request->service,
+        .adapter = request->asked.adapter,
+        .tried = tried,
+        .n_tried = request->n_tried + 1,
+    };
+    struct cm_pick pick;
+    if (request->asked.model != NULL) {
+        CmPick_Engine(&gateway->targets, &wanted, now, &pick);
+    }
+    else {
+        CmPick_Plain(&gateway->targets, &wanted, now, &pick);
+    }
+    return pick.target != NULL && request->n_tried < CM_TRIED_MAX &&
+           request->life.runs < request->life.max_attempts &&
+           CmBudget_Allows(Gateway_Budget(gateway, request->service), now);
+}
+
+/// The target has been silent for long: leaves it only for another one.
+static void
+on_silence(struct request *request)
+{
+    if (!can_move(request)) {
+        set_timer(request, MIN(left_ms(request) + STREAM_GRACE_MS,
+                               silence_ms(request)));
+        return;
+    }
+    // The run ends with its connection.
+    CmH1Call_Cancel(&request->attempt.call);
+    go_on(request, CM_ATTEMPT_LOST);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *context)
 {
@@ -534,13 +577,14 @@
     }
     else if (request->phase == REQUEST_LEASING) {
         request->lease.target->agent_down_until =
-            CmTime_AddMs(Gateway_Now(request->gateway), LEASE_WAIT_MS);
+            CmTime_AddMs(Gateway_Now(request->gateway), AGENT_DOWN_MS);
         Request_NotLeased(request, "no answer in time");
     }
+    else if (silence_ms(request) >= 0) {
+        on_silence(request);
+    }
     else {
-        // The run ends with its connection.
-        CmH1Call_Cancel(&request->attempt.call);
-        go_on(request, CM_ATTEMPT_LOST);
+        set_progress_timer(request);
     }
 }
 
@@ -605,3 +649,17 @@
     request->gateway->count.abandoned.value++;
     request_free(request);
 }
+
+void
+Request_Stop(struct request *request)
+{
+    if (request->life.began) {
+        cut(request, "the gateway stops");
+    }
+    else if (request->life.runs > 0) {
+        answer_own(request, STATUS_GATEWAY_TIMEOUT, "the gateway stops");
+    }
+    else {
+        answer_own(request, STATUS_UNAVAILABLE, "the gateway stops");
+    }
+}
--- a/programs/coriandermoor/gateway/request.h
+++ b/programs/coriandermoor/gateway/request.h
@@ -10,6 +10,10 @@
 void
 Request_Start(struct caller *caller);
 
+/// The process stops: gives the final answer at once.
+void
+Request_Stop(struct request *request);
+
 /// The caller has gone: ends all work for it.
 void
 Request_Abandon(struct request *request);
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -120,6 +120,9 @@
         attempt->target = CmTarget_Ref(target);
         target->in_flight++;
         request->sends++;
+        if (request->asked.model != NULL) {
+            CmTarget_SentPrompt(target, request->asked.tokens, now);
+        }
         gateway->count.sends.value++;
     }
     g_string_free(message, TRUE);
