fix(slots,gateway): engines that restart with their machines; connections late in a stop

Change: agents learn the incarnation from an engine's 421; only a confirmed one refuses leases; an entry whose address a later start has taken is dropped; connections close after their answer while a stop is under way.

--- a/packages/dispatch/include/dispatch/targets.h
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -15,7 +15,7 @@
 CmTargets_Finish(struct cm_targets *targets);
 
 /// The list names a target, new or known.
-/// @return the target.
+/// @return the target, or NULL if a later one has taken its address.
 struct cm_live_target *
 CmTargets_Update(struct cm_targets *targets,
                  const struct cm_target_info *info);
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -110,6 +110,39 @@
            target->started_ms != info->started_ms;
 }
 
+/// @return the latest other target at the same address, or NULL.
+static struct cm_live_target *
+find_successor(const struct cm_targets *targets,
+               const struct cm_target_info *info)
+{
+    struct cm_live_target *target;
+    CmList_FOREACH (target, &targets->list, link) {
+        if (target->started_ms > info->started_ms &&
+            strcmp(target->address, info->address) == 0 &&
+            strcmp(target->id, info->id) != 0) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
+/// A target has taken over the address of others: those are gone, although
+/// their entries have yet to lapse.
+static void
+remove_predecessors(struct cm_targets *targets,
+                    const struct cm_live_target *successor)
+{
+    struct cm_live_target *target;
+    struct cm_live_target *next;
+    CmList_FOREACH_SAFE (target, &targets->list, link, next) {
+        if (target != successor &&
+            target->started_ms < successor->started_ms &&
+            strcmp(target->address, successor->address) == 0) {
+            remove_target(targets, target);
+        }
+    }
+}
+
 struct cm_live_target *
 CmTargets_Update(struct cm_targets *targets, const struct cm_target_info *info)
 {
@@ -118,8 +151,15 @@
         remove_target(targets, target);
         target = NULL;
     }
+    if (find_successor(targets, info) != NULL) {
+        if (target != NULL) {
+            remove_target(targets, target);
+        }
+        return NULL;
+    }
     if (target == NULL) {
         target = add_target(targets, info);
+        remove_predecessors(targets, target);
     }
     target->same_zone = strcmp(info->zone, targets->zone) == 0;
     // An engine that is leaving does not come back.
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -214,6 +214,16 @@
     CmTargets_Update(&targets, &info);
     CU_ASSERT_EQUAL(CmTargets_EndList(&targets), 1);
     CU_ASSERT_PTR_NULL(CmTargets_Find(&targets, "e0"));
+    // Started again under another id at the same address: the entry of the
+    // former one says nothing any more.
+    struct cm_target_info again = info;
+    again.id = "e2";
+    again.started_ms = 9;
+    struct cm_live_target *successor = CmTargets_Update(&targets, &again);
+    CU_ASSERT_PTR_NULL(CmTargets_Find(&targets, "e1"));
+    CU_ASSERT_PTR_NULL(CmTargets_Update(&targets, &info));
+    CU_ASSERT_PTR_EQUAL(CmTargets_Update(&targets, &again), successor);
+    info = again;
     info.draining = true;
     CmTargets_Update(&targets, &info);
     info.draining = false;
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -35,11 +35,26 @@
     evtimer_add(slots->engine.timer, &timeout);
 }
 
+static void
+replace_text(char **text, const char *value)
+{
+    if (g_strcmp0(*text, value) != 0) {
+        g_free(*text);
+        *text = g_strdup(value);
+    }
+}
+
 static bool
 on_head(void *context, const struct cm_h1_head *head)
 {
     struct slots *slots = context;
     slots->engine.status = head->status;
+    const char *answering = CmH1Head_Find(head, CM_WIRE_TARGET_ID);
+    if (answering != NULL &&
+        CmEngineCodec_OrderVerdict(head->status) == CM_VERDICT_OTHER) {
+        replace_text(&slots->engine.target, answering);
+        slots->engine.confirmed = true;
+    }
     g_string_truncate(slots->engine.body, 0);
     return true;
 }
@@ -83,6 +98,7 @@
 {
     struct engine *engine = &slots->engine;
     json_t *answer = json_loadb(engine->body->str, engine->body->len, 0, NULL);
+    int64_t started_ms = engine->report.started_ms;
     engine->has_model = false;
     CmResidency_BeginReport(&slots->residency);
     bool sound = engine->status == STATUS_OK &&
@@ -98,6 +114,12 @@
                     "the engine at %s answers: %" PRId64 " orders so far",
                     slots->settings.engine, engine->report.orders);
     }
+    if (engine->report.started_ms != started_ms) {
+        // Another incarnation: gateways, or its answer to an order, tell.
+        g_clear_pointer(&engine->target, g_free);
+        engine->confirmed = false;
+        engine->no_model_until = (struct timespec){0};
+    }
     engine->known = true;
     engine->failures = 0;
     engine->stale = false;
@@ -108,8 +130,9 @@
 static void
 log_order(const struct slots *slots, enum cm_order_verdict answer)
 {
-    static const char *const answers[] = {"under way", "done", "conflict",
-                                          "fenced", "refused"};
+    static const char *const answers[] = {
+        "under way", "done", "conflict", "fenced", "for another incarnation",
+        "refused"};
     const struct engine *engine = &slots->engine;
     CmLog_Event(G_LOG_LEVEL_INFO, "order", NULL,
                 "%s %s version %" PRId64 " as order %" PRId64 ": %s",
@@ -126,12 +149,14 @@
     log_order(slots, answer);
     switch (answer) {
     case CM_VERDICT_UNDER_WAY:
+        engine->confirmed = true;
         engine->report.orders++;
         CmResidency_Ordered(&slots->residency, &engine->order, false,
                             Slots_Now(slots));
         next_step(slots);
         break;
     case CM_VERDICT_DONE:
+        engine->confirmed = true;
         engine->report.orders++;
         CmResidency_Ordered(&slots->residency, &engine->order, true,
                             Slots_Now(slots));
@@ -144,6 +169,10 @@
         engine->stale = true;
         set_timer(slots, 0);
         break;
+    case CM_VERDICT_OTHER:
+        engine->stale = true;
+        set_timer(slots, 0);
+        break;
     default:
         engine->stale = true;
         set_timer(slots, REFUSED_PAUSE_MS);
@@ -177,7 +206,10 @@
                     "load of model %s: status %d", engine->model,
                     engine->status);
         engine->stale = true;
-        set_timer(slots, REFUSED_PAUSE_MS);
+        if (CmEngineCodec_OrderVerdict(engine->status) == CM_VERDICT_OTHER) {
+            engine->no_model_until = (struct timespec){0};
+        }
+        set_timer(slots, REPORT_BUSY_MS);
     }
 }
 
@@ -348,24 +380,18 @@
     next_step(slots);
 }
 
-static void
-replace_text(char **text, const char *value)
-{
-    if (g_strcmp0(*text, value) != 0) {
-        g_free(*text);
-        *text = g_strdup(value);
-    }
-}
-
-void
+bool
 Engine_Want(struct slots *slots, const char *target, const char *model)
 {
     struct engine *engine = &slots->engine;
-    replace_text(&engine->target, target);
     replace_text(&engine->model, model);
+    if (!engine->confirmed) {
+        replace_text(&engine->target, target);
+    }
     if (!engine->has_model) {
         next_step(slots);
     }
+    return strcmp(engine->target, target) == 0;
 }
 
 bool
--- a/programs/coriandermoor-agent/slots/engine.h
+++ b/programs/coriandermoor-agent/slots/engine.h
@@ -19,7 +19,8 @@
 Engine_Wake(struct slots *slots);
 
 /// Gateways mean this incarnation of the engine, with this base model.
-void
+/// @return whether it is the one that this agent knows of.
+bool
 Engine_Want(struct slots *slots, const char *target, const char *model);
 
 /// @return whether the engine answers and holds its base model.
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -232,9 +232,9 @@
     }
     slots->leases.value++;
     note_gateway(slots, ask.gateway);
-    Engine_Want(slots, ask.target, ask.model);
+    bool meant = Engine_Want(slots, ask.target, ask.model);
     bool later = false;
-    if (ask.adapter == NULL || !Engine_Serves(slots) ||
+    if (ask.adapter == NULL || !meant || !Engine_Serves(slots) ||
         strchr(ask.adapter, '/') == NULL) {
         reply(session, CM_LEASE_OUTCOME_DOWN, 0);
     }
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -42,8 +42,9 @@
     bool stale;   ///< an order was given since the last report
     int failures; ///< in a row
     int64_t fence;
-    char *model;  ///< that gateways want loaded, or NULL
-    char *target; ///< incarnation that gateways mean, or NULL
+    char *model;    ///< that gateways want loaded, or NULL
+    char *target;   ///< incarnation that orders are meant for, or NULL
+    bool confirmed; ///< the engine has accepted an order for `target`
     struct timespec no_model_until; ///< no order for the model before
 };
 
--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -199,7 +199,8 @@
 Caller_Answered(struct caller *caller, bool keep)
 {
     caller->request = NULL;
-    if (!keep) {
+    // A stream that began before a planned stop promised to keep it open.
+    if (!keep || caller->gateway->leaving) {
         CmH1Conn_FinishAfterWrite(&caller->conn);
         caller_free(caller);
         return;
--- a/programs/coriandermoor/gateway/feeds.c
+++ b/programs/coriandermoor/gateway/feeds.c
@@ -96,6 +96,9 @@
     struct cm_live_target *known = CmTargets_Find(&gateway->targets, name);
     bool was_leaving = known != NULL && known->draining;
     struct cm_live_target *target = CmTargets_Update(&gateway->targets, &info);
+    if (target == NULL) {
+        return;
+    }
     if (known != target) {
         CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
                     "%s of %s at %s in %s is new", name, info.service,
