--- a/packages/base/include/base/log.h
+++ b/packages/base/include/base/log.h
@@ -1,7 +1,8 @@
 /// @file log.h
 /// Structured logging through GLib: one JSON object a line (time, level,
 /// component, request, message and the event's own fields), or plain text
-/// for a terminal. Goes to standard error.
+/// for a terminal. Goes to standard output, never blocks on it, and holds each
+/// component to a number of lines a second.
 
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -1,16 +1,27 @@
 /// @file log.c
-/// GLib log writer that prints JSON or text lines to standard error.
+/// GLib log writer that prints JSON or text lines to standard output. It
+/// never blocks: a line that the reader has no room for is left out and
+/// counted. Each component has a number of lines a second.
 
 #include "base/log.h"
 
+#include <errno.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 
 #define LOG_DOMAIN "coriandermoor"
+/// Longest line, what a pipe takes at once.
+#define LINE_MAX_BYTES ((size_t)4096)
+/// Lines of one component in a second: a decision or two for each request at
+/// the highest rate of one process; failures are the last to be left out.
+#define LINES_MAX_PER_S 400
+#define FAILURE_LINES_MAX_PER_S 800
 
 static struct {
     enum cm_log_format format;
@@ -18,6 +29,19 @@
     char process[64];
 } settings = {CM_LOG_TEXT, G_LOG_LEVEL_INFO, ""};
 
+/// Lines of one component and second; those of failures may be more.
+struct quota {
+    char component[16];
+    time_t second;
+    int lines;
+    int left_out;
+};
+
+#define QUOTAS_MAX 32
+static struct quota quotas[QUOTAS_MAX];
+/// Lines for which the reader had no room.
+static uint64_t unwritten;
+
 static const struct {
     const char *name;
     GLogLevelFlags level;
@@ -39,6 +63,18 @@
     return "error";
 }
 
+/// Writes one line if that does not block: a pipe that is writable takes
+/// PIPE_BUF bytes at once.
+static void
+write_line(const char *line, size_t size)
+{
+    struct pollfd ready = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT) ||
+        write(STDOUT_FILENO, line, MIN(size, LINE_MAX_BYTES)) < 0) {
+        unwritten++;
+    }
+}
+
 static void
 write_text(const GLogField *fields, gsize n_fields, const char *level)
 {
@@ -53,7 +89,7 @@
         g_string_append_printf(line, " %s", (const char *)fields[i].value);
     }
     g_string_append_c(line, '\n');
-    fwrite(line->str, 1, line->len, stderr);
+    write_line(line->str, line->len);
     g_string_free(line, TRUE);
 }
 
@@ -77,8 +113,15 @@
         g_free(text);
         g_free(key);
     }
+    if (unwritten > 0) {
+        json_object_set_new(line, "unwritten_before",
+                            json_integer((json_int_t)unwritten));
+        unwritten = 0;
+    }
     char *dump = json_dumps(line, JSON_COMPACT);
-    fprintf(stderr, "%s\n", dump);
+    char *text = g_strconcat(dump, "\n", NULL);
+    write_line(text, strlen(text));
+    g_free(text);
     free(dump);
     json_decref(line);
 }
@@ -138,11 +181,53 @@
     return n + 1;
 }
 
+static struct quota *
+find_quota(const char *component)
+{
+    size_t i = 0;
+    while (i < QUOTAS_MAX - 1 && quotas[i].component[0] != '\0' &&
+           strncmp(quotas[i].component, component,
+                   sizeof(quotas[i].component) - 1) != 0) {
+        i++;
+    }
+    if (quotas[i].component[0] == '\0') {
+        g_strlcpy(quotas[i].component, component, sizeof(quotas[i].component));
+    }
+    return &quotas[i];
+}
+
+/// @return whether a line of `component` may be written now.
+static bool
+take_line(const char *component, GLogLevelFlags level)
+{
+    struct quota *quota = find_quota(component);
+    time_t second = CmClock_Now(CmClock_System()).tv_sec;
+    if (quota->second != second) {
+        int left_out = quota->left_out;
+        quota->second = second;
+        quota->lines = 0;
+        quota->left_out = 0;
+        if (left_out > 0) {
+            CmLog_Event(G_LOG_LEVEL_WARNING, "log", NULL,
+                        "%d lines of %s were left out in one second", left_out,
+                        component);
+        }
+    }
+    int limit = level <= G_LOG_LEVEL_WARNING ? FAILURE_LINES_MAX_PER_S
+                                             : LINES_MAX_PER_S;
+    if (quota->lines >= limit) {
+        quota->left_out++;
+        return false;
+    }
+    quota->lines++;
+    return true;
+}
+
 void
 CmLog_Event(GLogLevelFlags level, const char *component, const char *request,
             const char *format, ...)
 {
-    if (!CmLog_Enabled(level)) {
+    if (!CmLog_Enabled(level) || !take_line(component, level)) {
         return;
     }
     va_list args;
@@ -162,7 +247,8 @@
 CmLog_Decision(const char *component, const char *request, const char *subject,
                const char *choice, const char *candidates, const char *reason)
 {
-    if (!CmLog_Enabled(G_LOG_LEVEL_INFO)) {
+    if (!CmLog_Enabled(G_LOG_LEVEL_INFO) ||
+        !take_line(component, G_LOG_LEVEL_INFO)) {
         return;
     }
     GLogField fields[8];
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -259,6 +259,7 @@
 handle_metrics(struct session *session)
 {
     GString *text = g_string_new(NULL);
+    session->slots->held.value = g_hash_table_size(session->slots->claims);
     CmCounters_Write(&session->slots->counters, text);
     write_answer(session, STATUS_OK, "text/plain; version=0.0.4", text->str);
     g_string_free(text, TRUE);
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -72,6 +72,7 @@
     struct cm_counter pinned;
     struct cm_counter orders;
     struct cm_counter reports;
+    struct cm_counter held;
 };
 
 /// @return monotonic time.
--- a/programs/coriandermoor-agent/slots/slots_main.c
+++ b/programs/coriandermoor-agent/slots/slots_main.c
@@ -60,6 +60,8 @@
                    "Orders given to the engine.");
     CmCounters_Add(all, &slots->reports, "cm_agent_reports_total",
                    "Reports read from the engine.");
+    CmCounters_AddGauge(all, &slots->held, "cm_agent_claims",
+                        "Claims on adapters that requests hold.");
 }
 
 static struct event *
--- /dev/null
+++ b/testing/fleet/deployment.py
@@ -0,0 +1,246 @@
+"""A small deployment on loopback: stand-ins and the real programs."""
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import time
+
+from standin import Engine, Plain, Store
+
+START_TIMEOUT_S = 10
+STREAM_TIMEOUT_MS = 4000
+PLAIN_TIMEOUT_MS = 800
+
+
+class Process:
+    """One of the real programs; its output goes to a file."""
+
+    def __init__(self, name, command, log):
+        self.name, self.command, self.log = name, command, log
+        self.process = None
+
+    async def start(self):
+        out = open(self.log, "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            *self.command, stdin=asyncio.subprocess.DEVNULL, stdout=out,
+            stderr=out)
+        out.close()
+
+    def signal(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self, timeout_s):
+        return await asyncio.wait_for(self.process.wait(), timeout_s)
+
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+
+class Deployment:
+    """Engines at 127.0.1.N with agents beside them, plain targets at
+    127.0.2.N, gateways at 127.0.3.N, the store at 127.0.4.1."""
+
+    def __init__(self, build, folder, engines=3, plains=2, gateways=2,
+                 adapter_slots=3, port=23000):
+        self.build, self.folder = pathlib.Path(build), pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.port = port
+        self.adapter_slots = adapter_slots
+        self.store = Store("127.0.4.1", port)
+        self.engines = [
+            Engine(self.store, f"127.0.1.{i + 1}", port, "llm", "ab"[i % 2],
+                   adapter_slots) for i in range(engines)]
+        self.plains = [Plain(self.store, f"127.0.2.{i + 1}", port, "app",
+                             "ab"[i % 2], 6) for i in range(plains)]
+        self.version = 0
+        self.extra_routes = []
+        self.agents = [self.agent(i) for i in range(engines)]
+        self.gateways = [self.gateway(i) for i in range(gateways)]
+
+    def settings(self, name, text):
+        path = self.folder / f"{name}.yaml"
+        path.write_text(text)
+        return str(path)
+
+    def agent(self, i):
+        host = self.engines[i].host
+        path = self.settings(f"agent{i}", (
+            f'name: "agent{i}"\nzone: "{"ab"[i % 2]}"\n'
+            f'listen: "{host}:{self.port + 1}"\n'
+            f'admin: "{host}:{self.port + 2}"\n'
+            f'engine: "{host}:{self.port}"\n'))
+        return Process(f"agent{i}", [
+            str(self.build / "coriandermoor-agent"), "slots", "--settings",
+            path], self.folder / f"agent{i}.log")
+
+    def gateway(self, i):
+        host = f"127.0.3.{i + 1}"
+        path = self.settings(f"gateway{i}", (
+            f'name: "gateway{i}"\nzone: "{"ab"[i % 2]}"\n'
+            f'listen: "{host}:{self.port}"\nready: "{host}:{self.port + 1}"\n'
+            f'admin: "{host}:{self.port + 2}"\n'
+            f'store: "{self.store.address}"\nagent_port: {self.port + 1}\n'
+            'retry_ratio: 0.2\nretry_reserve: 50\nretry_window_s: 10\n'
+            'stop_s: 8\ndrain_ms: 2000\n'))
+        return Process(f"gateway{i}", [
+            str(self.build / "coriandermoor"), "gateway", "--settings",
+            path], self.folder / f"gateway{i}.log")
+
+    def configure(self):
+        """Puts the next version of the configuration."""
+        self.version += 1
+
+        def route(name, kind, service, timeout, attempts, **more):
+            return dict({"name": name, "host": "h.example",
+                         "pathPrefix": f"/{name}/", "kind": kind,
+                         "timeoutMs": timeout, "targetLatencyMs": 400,
+                         "priority": 1, "service": service,
+                         "maxAttempts": attempts}, **more)
+        routes = [
+            route("resumed", "streaming", "llm", STREAM_TIMEOUT_MS, 2,
+                  resumable=True, targetGapMs=300),
+            route("once-stream", "streaming", "llm", STREAM_TIMEOUT_MS, 1,
+                  resumable=False, targetGapMs=300),
+            route("once", "unsafe", "app", PLAIN_TIMEOUT_MS, 1),
+            route("again", "safe", "app", PLAIN_TIMEOUT_MS, 2),
+        ] + [route(name, "safe", "app", PLAIN_TIMEOUT_MS, 2)
+             for name in self.extra_routes]
+        services = [
+            {"name": "llm", "maxConnections": 300, "engine": {
+                "slots": 64, "kvTokens": 100000,
+                "adapterSlots": self.adapter_slots,
+                "models": [{"name": Engine.MODEL, "adapters": 100}]}},
+            {"name": "app", "maxConnections": 100}]
+        self.store.put("config", "main", {
+            "version": self.version, "routes": routes, "services": services,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+
+    async def up(self):
+        await self.store.open()
+        self.configure()
+        for target in self.engines + self.plains:
+            await target.start()
+        for process in self.agents + self.gateways:
+            await process.start()
+        for i in range(len(self.gateways)):
+            await self.until_ready(i)
+
+    async def until_ready(self, i):
+        end = time.monotonic() + START_TIMEOUT_S
+        while not await self.ready(i):
+            if time.monotonic() > end:
+                raise TimeoutError(f"gateway {i} is not ready")
+            await asyncio.sleep(0.05)
+
+    async def ready(self, i):
+        try:
+            status, _, _, _ = await call(f"127.0.3.{i + 1}", self.port + 1,
+                                         "GET", "/ready")
+            return status == 200
+        except OSError:
+            return False
+
+    async def metric(self, host, name):
+        _, _, body, _ = await call(host, self.port + 2, "GET", "/metrics")
+        for line in body.decode().splitlines():
+            if line.startswith(name + " "):
+                return int(line.split()[1])
+        raise KeyError(name)
+
+    async def down(self):
+        for process in self.gateways + self.agents:
+            if process.process is not None:
+                process.signal(signal.SIGKILL)
+                await process.process.wait()
+        for target in self.engines + self.plains:
+            if target.up:
+                await target.crash()
+        await self.store.close()
+
+    def runs(self):
+        return [run for t in self.engines + self.plains for run in t.runs]
+
+    def sanitizer_reports(self):
+        return [str(p) for p in self.folder.glob("*.log")
+                if b"Sanitizer" in p.read_bytes()
+                or b"runtime error" in p.read_bytes()]
+
+
+async def call(host, port, method, path, headers=None, body=b"",
+               timeout_s=10):
+    """One request on a connection of its own.
+
+    Returns status, headers, body and whether the answer was complete.
+    """
+    reader, writer = await asyncio.wait_for(
+        asyncio.open_connection(host, port), timeout_s)
+    try:
+        lines = [f"{method} {path} HTTP/1.1", "Host: h.example",
+                 "Connection: close"]
+        lines += [f"{k}: {v}" for k, v in (headers or {}).items()]
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+        await writer.drain()
+        data = await asyncio.wait_for(read_all(reader), timeout_s)
+    finally:
+        writer.transport.abort()
+    return parse_answer(data)
+
+
+async def read_all(reader):
+    data = b""
+    try:
+        while True:
+            block = await reader.read(65536)
+            if not block:
+                return data
+            data += block
+    except ConnectionError:
+        return data
+
+
+def parse_answer(data):
+    if b"\r\n\r\n" not in data:
+        return 0, {}, b"", False
+    head, _, rest = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    status = int(lines[0].split(" ")[1])
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        body, complete = b"", False
+        while b"\r\n" in rest:
+            size, _, rest = rest.partition(b"\r\n")
+            count = int(size, 16)
+            if count == 0:
+                complete = True
+                break
+            body += rest[:count]
+            rest = rest[count + 2:]
+        return status, headers, body, complete
+    length = int(headers.get("content-length", len(rest)))
+    return status, headers, rest[:length], len(rest) >= length
+
+
+def request_headers(number, adapter=None, tokens=100, events=10,
+                    deadline_ms=3500):
+    headers = {"X-Request-Id": f"{number:016x}",
+               "X-Deadline-Ms": str(deadline_ms)}
+    if adapter is not None:
+        headers["X-Model"] = f"{Engine.MODEL}/{adapter}"
+        headers["X-Token-Usage"] = f"{tokens},{events}"
+        headers["X-Prompt-Prefix"] = f"ab:{tokens}"
+    return headers
+
+
+def events_of(adapter, count, last=0):
+    return "".join(f"id: {n}\ndata: {adapter} {n}\n\n"
+                   for n in range(last + 1, count + 1)).encode()
