feat(residency,dispatch): agents say busy; backlog measured from the engine's runs

Change: an ask names the backlog it accepts; an agent with more answers busy at once, and the gateway picks again with what it was told, three times at most; agents measure unread prompts by the engine's runs; what the engine will not unload is spared for a while.

--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -24,13 +24,15 @@
     int64_t priority; ///< 0 is the most urgent
     int64_t tokens;   ///< of the prompt
     int64_t slots;    ///< adapters the engine may hold
-    int64_t wait_ms;  ///< for how long the gateway waits
+    int64_t backlog_max_ms; ///< prompts ahead beyond which it says busy
+    int64_t wait_ms;        ///< for how long the gateway waits
 };
 
 enum cm_lease_outcome {
     CM_LEASE_OUTCOME_HELD,   ///< the adapter is in its slot
     CM_LEASE_OUTCOME_PINNED, ///< all slots are in use
     CM_LEASE_OUTCOME_LATE,   ///< not within the wait
+    CM_LEASE_OUTCOME_BUSY,   ///< more prompts are ahead than allowed
     CM_LEASE_OUTCOME_DOWN,   ///< the engine does not answer, or has no model
 };
 
--- a/packages/residency/include/residency/residency.h
+++ b/packages/residency/include/residency/residency.h
@@ -48,6 +48,12 @@
                     const struct cm_residency_order *order, bool done,
                     struct timespec now);
 
+/// The engine did not take an order.
+void
+CmResidency_Refused(struct cm_residency *residency,
+                    const struct cm_residency_order *order,
+                    struct timespec now);
+
 /// @return whether adapters are on their way or waited for.
 bool
 CmResidency_Busy(const struct cm_residency *residency);
--- a/packages/residency/include/residency/residency_defs.h
+++ b/packages/residency/include/residency/residency_defs.h
@@ -31,6 +31,9 @@
 #define CM_RESIDENCY_KEPT 30
 /// Time after which a replacement that has not shown is ordered again.
 #define CM_RESIDENCY_REPLACE_MS 1500
+/// Time for which an adapter that the engine would not unload, as runs use it
+/// that this agent does not know of, is not chosen again.
+#define CM_RESIDENCY_SPARE_MS 500
 
 /// One adapter in a slot, or on its way into one.
 struct cm_resident {
@@ -46,7 +49,8 @@
     struct timespec used;
     /// A newer version has been ordered; no new run begins until it is here.
     bool replacing;
-    struct timespec replaced; ///< when that was ordered
+    struct timespec replaced;     ///< when that was ordered
+    struct timespec spared_until; ///< not chosen to make room before
 };
 
 struct cm_lease;
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -6,17 +6,20 @@
 #include <jansson.h>
 #include <string.h>
 
-static const char *const outcome_names[] = {"held", "pinned", "late", "down"};
+static const char *const outcome_names[] = {"held", "pinned", "late", "busy",
+                                            "down"};
 
 char *
 CmLeaseAsk_Encode(const struct cm_lease_ask *ask)
 {
     json_t *body = json_pack(
-        "{s:s,s:s,s:s,s:s,s:s*,s:I,s:I,s:I,s:I,s:I}", "id", ask->id, "gateway",
-        ask->gateway, "target", ask->target, "model", ask->model, "adapter",
-        ask->adapter, "version", (json_int_t)ask->version, "priority",
-        (json_int_t)ask->priority, "tokens", (json_int_t)ask->tokens, "slots",
-        (json_int_t)ask->slots, "wait_ms", (json_int_t)ask->wait_ms);
+        "{s:s,s:s,s:s,s:s,s:s*,s:I,s:I,s:I,s:I,s:I,s:I}", "id", ask->id,
+        "gateway", ask->gateway, "target", ask->target, "model", ask->model,
+        "adapter", ask->adapter, "version", (json_int_t)ask->version,
+        "priority", (json_int_t)ask->priority, "tokens",
+        (json_int_t)ask->tokens, "slots", (json_int_t)ask->slots, "wait_ms",
+        (json_int_t)ask->wait_ms, "backlog_max_ms",
+        (json_int_t)ask->backlog_max_ms);
     char *text = json_dumps(body, JSON_COMPACT);
     json_decref(body);
     return text;
@@ -36,12 +39,14 @@
     json_int_t tokens;
     json_int_t slots;
     json_int_t wait_ms;
+    json_int_t backlog_max_ms;
     bool sound =
-        json_unpack(json, "{s:s,s:s,s:s,s:s,s?s,s:I,s:I,s:I,s:I,s:I}", "id",
-                    &id, "gateway", &gateway, "target", &target, "model",
+        json_unpack(json, "{s:s,s:s,s:s,s:s,s?s,s:I,s:I,s:I,s:I,s:I,s:I}",
+                    "id", &id, "gateway", &gateway, "target", &target, "model",
                     &model, "adapter", &adapter, "version", &version,
                     "priority", &priority, "tokens", &tokens, "slots", &slots,
-                    "wait_ms", &wait_ms) == 0;
+                    "wait_ms", &wait_ms, "backlog_max_ms",
+                    &backlog_max_ms) == 0;
     if (sound) {
         *ask = (struct cm_lease_ask){
             .id = g_strdup(id),
@@ -54,6 +59,7 @@
             .tokens = tokens,
             .slots = slots,
             .wait_ms = wait_ms,
+            .backlog_max_ms = backlog_max_ms,
         };
     }
     json_decref(json);
--- a/packages/residency/src/residency.c
+++ b/packages/residency/src/residency.c
@@ -314,6 +314,7 @@
     struct cm_resident *resident;
     CmList_FOREACH (resident, &residency->residents, link) {
         if (!is_needed(residency, resident) &&
+            !CmTime_Before(now, resident->spared_until) &&
             (victim == NULL ||
              uses_at(resident, now) < uses_at(victim, now))) {
             victim = resident;
@@ -396,6 +397,17 @@
     resident->incoming = true;
 }
 
+void
+CmResidency_Refused(struct cm_residency *residency,
+                    const struct cm_residency_order *order,
+                    struct timespec now)
+{
+    struct cm_resident *resident = find(residency, order->adapter);
+    if (!order->load && resident != NULL) {
+        resident->spared_until = CmTime_AddMs(now, CM_RESIDENCY_SPARE_MS);
+    }
+}
+
 bool
 CmResidency_Busy(const struct cm_residency *residency)
 {
--- a/packages/residency/tests/residency_test.c
+++ b/packages/residency/tests/residency_test.c
@@ -124,6 +124,28 @@
     CmResidency_Finish(&residency);
 }
 
+/// An adapter that the engine will not unload is left alone for a while.
+static void
+test_refused_victim(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, 2);
+    static const char *const full[] = {"a", "b"};
+    report(&residency, full, 2, at(0));
+    struct cm_lease used = lease_for("b", 0);
+    CmResidency_Ask(&residency, &used, at(1));
+    CmResidency_Release(&residency, &used);
+    struct cm_lease wanted = lease_for("c", 0);
+    CmResidency_Ask(&residency, &wanted, at(2));
+    struct cm_residency_order order;
+    CU_ASSERT_FATAL(CmResidency_NextOrder(&residency, at(2), &order));
+    CU_ASSERT_STRING_EQUAL(order.adapter, "a");
+    CmResidency_Refused(&residency, &order, at(3));
+    g_free(order.adapter);
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(4)), "-b");
+    CmResidency_Finish(&residency);
+}
+
 /// Many cold adapters at once: only a window of store loads is under way,
 /// copies that the engine has kept go past it, and what would wait behind too
 /// many loads is sent elsewhere.
@@ -321,7 +343,7 @@
 test_messages(void)
 {
     struct cm_lease_ask ask = {"r1", "g", "i-1", "m", "m/a",
-                               2,    1,   900,   5,   300};
+                               2,    1,   900,   5,   250,   300};
     char *text = CmLeaseAsk_Encode(&ask);
     struct cm_lease_ask read;
     CU_ASSERT_FATAL(CmLeaseAsk_Decode(&read, text, strlen(text)));
@@ -349,6 +371,7 @@
 static const struct cm_test tests[] = {
     {"granted when loaded", test_grant_when_loaded},
     {"who makes room", test_victim},
+    {"who will not make room", test_refused_victim},
     {"window of store loads", test_window},
     {"window adapts", test_window_adapts},
     {"replacement", test_replacement},
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -8,11 +8,14 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "gateways.h"
 #include "h1/writer.h"
 #include "names.h"
 
-/// Pause between reports while adapters are on their way, and otherwise.
+/// Pause between reports while adapters are on their way, while requests run,
+/// and otherwise.
 #define REPORT_BUSY_MS 20
+#define REPORT_RUNS_MS 60
 #define REPORT_IDLE_MS 700
 /// Time for the engine's answer; it is on this machine.
 #define CALL_TIMEOUT_MS 600
@@ -80,6 +83,18 @@
                          Slots_Now(slots));
 }
 
+static void
+on_run(void *context, const char *request, int64_t tokens, int64_t events)
+{
+    struct slots *slots = context;
+    struct engine_run *run = g_new(struct engine_run, 1);
+    *run = (struct engine_run){(double)tokens, events};
+    g_hash_table_replace(slots->engine.runs, g_strdup(request), run);
+}
+
+static const struct cm_engine_listener listener = {on_model, on_adapter,
+                                                   on_run};
+
 static void
 engine_failed(struct slots *slots, const char *why)
 {
@@ -100,10 +115,10 @@
     json_t *answer = json_loadb(engine->body->str, engine->body->len, 0, NULL);
     int64_t started_ms = engine->report.started_ms;
     engine->has_model = false;
+    g_hash_table_remove_all(engine->runs);
     CmResidency_BeginReport(&slots->residency);
     bool sound = engine->status == STATUS_OK &&
-                 CmEngineCodec_Report(answer, &engine->report, on_model,
-                                      on_adapter, slots);
+                 CmEngineCodec_Report(answer, &engine->report, &listener, slots);
     json_decref(answer);
     if (!sound) {
         engine_failed(slots, "its report is not understood");
@@ -123,6 +138,7 @@
     engine->known = true;
     engine->failures = 0;
     engine->stale = false;
+    Gateways_Measure(slots);
     CmResidency_EndReport(&slots->residency, Slots_Now(slots));
     next_step(slots);
 }
@@ -174,8 +190,10 @@
         set_timer(slots, 0);
         break;
     default:
+        CmResidency_Refused(&slots->residency, &engine->order,
+                            Slots_Now(slots));
         engine->stale = true;
-        set_timer(slots, REFUSED_PAUSE_MS);
+        set_timer(slots, REPORT_BUSY_MS);
         break;
     }
 }
@@ -333,8 +351,15 @@
         order_adapter(slots);
         return;
     }
-    bool busy = CmResidency_Busy(&slots->residency) || !engine->has_model;
-    set_timer(slots, busy ? REPORT_BUSY_MS : REPORT_IDLE_MS);
+    if (CmResidency_Busy(&slots->residency) || !engine->has_model) {
+        set_timer(slots, REPORT_BUSY_MS);
+    }
+    else if (g_hash_table_size(slots->claims) > 0) {
+        set_timer(slots, REPORT_RUNS_MS);
+    }
+    else {
+        set_timer(slots, REPORT_IDLE_MS);
+    }
 }
 
 static void
@@ -357,6 +382,8 @@
 {
     struct engine *engine = &slots->engine;
     engine->body = g_string_new(NULL);
+    engine->runs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->fence = 1;
     engine->timer = evtimer_new(slots->base, on_timer, slots);
     set_timer(slots, 0);
@@ -369,6 +396,7 @@
     CmH1Call_Cancel(&engine->call);
     event_free(engine->timer);
     g_string_free(engine->body, TRUE);
+    g_hash_table_destroy(engine->runs);
     g_free(engine->order.adapter);
     g_free(engine->model);
     g_free(engine->target);
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -15,6 +15,8 @@
 
 /// A claim that no gateway ends is given up after the longest stream.
 #define CLAIM_MAX_MS 20000
+/// Time within which a granted request shows among the engine's runs.
+#define CLAIM_UNSEEN_MS 400
 /// A gateway that has not asked for this long does not count as live.
 #define GATEWAY_SILENT_MS 10000
 #define STATUS_OK 200
@@ -37,6 +39,8 @@
     struct session *session; ///< while it waits
     char *id;
     int64_t tokens;
+    struct timespec granted;
+    bool seen; ///< among the engine's runs
     struct event *timer;
 };
 
@@ -87,7 +91,8 @@
     }
 }
 
-/// @return time that the prompts of granted leases take to be read.
+/// @return time that the prompts ahead take to be read: what the engine had
+/// yet to read by its last report, and what was granted since.
 static double
 backlog_ms(const struct slots *slots)
 {
@@ -128,6 +133,7 @@
     struct slots *slots = claim->slots;
     slots->granted.value++;
     add_backlog(slots, claim->tokens);
+    claim->granted = Slots_Now(slots);
     if (claim->timer != NULL) {
         event_free(claim->timer);
         claim->timer = NULL;
@@ -238,6 +244,9 @@
         strchr(ask.adapter, '/') == NULL) {
         reply(session, CM_LEASE_OUTCOME_DOWN, 0);
     }
+    else if (backlog_ms(slots) > (double)ask.backlog_max_ms) {
+        reply(session, CM_LEASE_OUTCOME_BUSY, 0);
+    }
     else {
         slots->residency.slots = ask.slots;
         later = ask_lease(session, &ask);
@@ -384,3 +393,28 @@
                     "%u claims were not ended by their gateways", ended);
     }
 }
+
+void
+Gateways_Measure(struct slots *slots)
+{
+    struct timespec now = Slots_Now(slots);
+    double unread = 0;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, slots->claims);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct claim *claim = value;
+        const struct engine_run *run =
+            g_hash_table_lookup(slots->engine.runs, claim->id);
+        if (run != NULL) {
+            claim->seen = true;
+            unread += run->events > 0 ? 0 : MAX(claim->tokens - run->read, 0);
+        }
+        else if (!claim->seen &&
+                 CmTime_DiffMs(now, claim->granted) < CLAIM_UNSEEN_MS) {
+            unread += (double)claim->tokens;
+        }
+    }
+    slots->backlog_ms = unread / CM_PREFILL_TOKENS_PER_MS;
+    slots->backlog_at = now;
+}
--- a/programs/coriandermoor-agent/slots/gateways.h
+++ b/programs/coriandermoor-agent/slots/gateways.h
@@ -14,6 +14,11 @@
 void
 Gateways_Finish(struct slots *slots);
 
+/// A report of the engine has been read: measures what its runs have yet to
+/// read.
+void
+Gateways_Measure(struct slots *slots);
+
 /// Ends claims whose gateway has not ended them in time.
 void
 Gateways_Sweep(struct slots *slots);
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -28,6 +28,12 @@
     ENGINE_MODEL_ORDER,
 };
 
+/// One run at the engine.
+struct engine_run {
+    double read; ///< prompt tokens that have been read
+    int64_t events;
+};
+
 /// The engine as this agent sees it.
 struct engine {
     struct cm_h1_call call;
@@ -37,7 +43,8 @@
     struct event *timer; ///< next report, or the end of patience
     struct cm_residency_order order;
     struct cm_engine_report report;
-    bool known; ///< a report has been had, and the last one succeeded
+    GHashTable *runs; ///< request id to struct engine_run
+    bool known;       ///< a report has been had, and the last one succeeded
     bool has_model;
     bool stale;   ///< an order was given since the last report
     int failures; ///< in a row
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -48,9 +48,12 @@
                                  .backlog_ms = (double)reply.backlog_ms,
                                  .at = now};
     CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
-    CmTarget_SetHolds(lease->target, request->asked.adapter, held, now);
+    if (reply.outcome != CM_LEASE_OUTCOME_BUSY) {
+        CmTarget_SetHolds(lease->target, request->asked.adapter, held, now);
+    }
     lease->target->told = told;
     Gateway_HeardOfGateways(request->gateway, reply.gateways);
+    lease->busy = reply.outcome == CM_LEASE_OUTCOME_BUSY;
     *why = CmLeaseOutcome_Name(reply.outcome);
     return held;
 }
@@ -70,6 +73,7 @@
 {
     struct request *request = context;
     const char *why = "the agent does not answer";
+    request->lease.busy = false;
     if (end != CM_H1_CALL_WHOLE) {
         request->lease.target->agent_down_until =
             CmTime_AddMs(Gateway_Now(request->gateway), AGENT_DOWN_MS);
@@ -99,7 +103,7 @@
 
 bool
 Lease_Ask(struct request *request, struct cm_live_target *target,
-          int64_t wait_ms)
+          int64_t wait_ms, int64_t backlog_max_ms)
 {
     struct lease *lease = &request->lease;
     struct gateway *gateway = request->gateway;
@@ -117,6 +121,7 @@
         .priority = request->route->priority,
         .slots = spec != NULL ? spec->engine.adapter_slots : 1,
         .wait_ms = wait_ms,
+        .backlog_max_ms = backlog_max_ms,
     };
     char *body = CmLeaseAsk_Encode(&ask);
     GString *message = compose(CM_LEASE_PATH, target->agent, body);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -19,6 +19,10 @@
 #define LEASE_GRACE_MS 100
 /// Time for which an agent that did not answer is left alone.
 #define AGENT_DOWN_MS 1000
+/// Prompts ahead at an engine that are accepted without a look at others, and
+/// agents that may say busy before one is taken as it is.
+#define BACKLOG_MAX_MS 150
+#define BUSY_ASKS_MAX 3
 /// Silence after which a stream that may be resumed goes on elsewhere: before
 /// its first event, several prefills; then several times the slowest step.
 #define FIRST_EVENT_SILENCE_MS 1300
@@ -262,6 +266,18 @@
                          target->agent_down_until);
 }
 
+/// @return how many prompts may be ahead. An engine that is best although it
+/// said busy is taken as it is, and so is any after a few asks.
+static int64_t
+backlog_max_ms(const struct request *request,
+               const struct cm_live_target *target)
+{
+    if (request->busy_asks >= BUSY_ASKS_MAX || target == request->busy_last) {
+        return INT64_MAX;
+    }
+    return BACKLOG_MAX_MS * (1 + request->busy_asks);
+}
+
 /// Asks for the adapter at the best engine.
 /// @return false if there is no engine left to ask.
 static bool
@@ -284,7 +300,8 @@
         else {
             int64_t wait_ms = MIN(LEASE_WAIT_MS, left_ms(request));
             request->phase = REQUEST_LEASING;
-            if (Lease_Ask(request, pick.target, wait_ms)) {
+            if (Lease_Ask(request, pick.target, wait_ms,
+                          backlog_max_ms(request, pick.target))) {
                 set_timer(request, wait_ms + LEASE_GRACE_MS);
                 return true;
             }
@@ -341,6 +358,15 @@
 Request_NotLeased(struct request *request, const char *why)
 {
     struct cm_live_target *target = request->lease.target;
+    if (request->lease.busy) {
+        // Picks again, with what the agent has just told.
+        request->lease.busy = false;
+        request->busy_asks++;
+        request->busy_last = target;
+        Lease_Release(request);
+        place(request);
+        return;
+    }
     CmLog_Event(G_LOG_LEVEL_INFO, "lease", request->asked.id,
                 "%s does not give %s: %s", target->id, request->asked.adapter,
                 why);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -26,6 +26,7 @@
     int status;
     struct cm_live_target *target; ///< NULL while there is no claim
     bool held;
+    bool busy; ///< the agent had more prompts ahead than was allowed
 };
 
 /// One send to a target.
@@ -61,6 +62,8 @@
     struct cm_live_target *tried[CM_TRIED_MAX];
     size_t n_tried;
     int sends;
+    int busy_asks; ///< agents that said busy since the last send
+    struct cm_live_target *busy_last; ///< the last of them, not owned
     bool keep; ///< the caller's connection stays open after the answer
 };
 
