--- a/packages/h1/src/conn.c
+++ b/packages/h1/src/conn.c
@@ -232,6 +232,14 @@
     }
 }
 
+static void
+report_whole(struct cm_h1_io *io)
+{
+    if (io->conn->handler->whole != NULL) {
+        io->conn->handler->whole(io->conn->context);
+    }
+}
+
 static void
 start_message(struct cm_h1_io *io)
 {
@@ -272,7 +280,7 @@
         }
         if (io->whole) {
             if (!skip_informational(io)) {
-                io->conn->handler->whole(io->conn->context);
+                report_whole(io);
             }
         }
         else if (HTTP_PARSER_ERRNO(&io->parser) != HPE_OK) {
@@ -317,7 +325,7 @@
             return;
         }
         if (io->whole) {
-            io->conn->handler->whole(io->conn->context);
+            report_whole(io);
             return;
         }
     }
