--- /dev/null
+++ b/packages/explain/tests/story_test.c
@@ -0,0 +1,101 @@
+/// @file story_test.c
+/// Stories from logs that are cut, mixed and of clocks that differ.
+
+#include "explain/story.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "cm_test.h"
+
+#define LINE(time, process, component, request, message)                      \
+    "{\"time_ms\":" #time ",\"level\":\"info\",\"process\":\"" process        \
+    "\",\"component\":\"" component "\",\"request\":\"" request               \
+    "\",\"message\":\"" message "\"}\n"
+
+/// @return position of `text` in `story`, or -1.
+static long
+position(const char *story, const char *text)
+{
+    const char *found = strstr(story, text);
+    return found != NULL ? (long)(found - story) : -1;
+}
+
+static void
+test_tell(void)
+{
+    static const struct {
+        const char *pattern;
+        const char *log;
+        const char *parts[4]; ///< in this order
+    } cases[] = {
+        {"one process",
+         LINE(100, "g", "lease", "r", "asks e1")
+             LINE(150, "g", "answer", "r", "refused 503: no room"),
+         {"asks e1", "=>", "refused 503", NULL}},
+        {"an agent whose clock is late",
+         LINE(9000, "agent", "lease", "r", "no slot")
+             LINE(100, "g", "lease", "r", "asks e1")
+                 LINE(150, "g", "answer", "r", "refused 503: no room"),
+         {"asks e1", "no slot  (clock shifted by -8850 ms)", "=> ", NULL}},
+        {"an agent whose clock is early",
+         LINE(1, "agent", "lease", "r", "no slot")
+             LINE(100, "g", "lease", "r", "asks e1")
+                 LINE(150, "g", "answer", "r", "refused 503: no room"),
+         {"no slot  (clock shifted by 99 ms)", "=> ", NULL, NULL}},
+        {"cut lines and other text around",
+         "e\":\"half of a line\"}\nplain text\n"
+         "  12.5 host " LINE(100, "g", "lease", "r", "asks e1")
+             LINE(150, "g", "answer", "r", "cut 0: gone") "{\"time_ms\":16",
+         {"asks e1", "cut 0: gone", NULL, NULL}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_story story;
+        CmStory_Init(&story);
+        CmStory_Add(&story, cases[i].log, strlen(cases[i].log));
+        GString *out = g_string_new(NULL);
+        CU_ASSERT(CmStory_Tell(&story, "r", out));
+        long last = -1;
+        for (size_t p = 0; p < 4 && cases[i].parts[p] != NULL; p++) {
+            long at = position(out->str, cases[i].parts[p]);
+            if (at <= last) {
+                printf("\n%s: %s\n", cases[i].pattern, out->str);
+            }
+            CU_ASSERT(at > last);
+            last = at;
+        }
+        CU_ASSERT_FALSE(CmStory_Tell(&story, "other", out));
+        g_string_free(out, TRUE);
+        CmStory_Finish(&story);
+    }
+}
+
+static void
+test_summary(void)
+{
+    static const char log[] = LINE(1, "g", "answer", "a",
+                                   "answered 200 after 5 ms, route x")
+        LINE(2, "g", "answer", "b", "refused 503 after 1 ms: no room")
+            LINE(3, "g", "answer", "c", "refused 503 after 9 ms: no room")
+                LINE(4, "h", "answer", "d", "answered 500 after 5 ms, route x")
+                    LINE(5, "h", "lease", "e", "no slot") "torn";
+    struct cm_story story;
+    CmStory_Init(&story);
+    CmStory_Add(&story, log, strlen(log));
+    GString *out = g_string_new(NULL);
+    CmStory_Summarize(&story, out);
+    CU_ASSERT(position(out->str, "4 requests, 1 answered with success, "
+                                 "1 lines skipped") == 0);
+    CU_ASSERT(position(out->str, "2  refused: no room  (for example b)") > 0);
+    CU_ASSERT(position(out->str, "1  answered 500  (for example d)") >
+              position(out->str, "refused: no room"));
+    g_string_free(out, TRUE);
+    CmStory_Finish(&story);
+}
+
+static const struct cm_test tests[] = {
+    {"story of one request", test_tell},
+    {"summary", test_summary},
+};
+
+CM_TEST_MAIN("explain", tests)
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -3,6 +3,7 @@
 
 #include "gateways.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -138,6 +139,10 @@
         event_free(claim->timer);
         claim->timer = NULL;
     }
+    CmLog_Event(G_LOG_LEVEL_INFO, "lease", claim->id,
+                "holds %s version %" PRId64 " after %" PRId64 " ms",
+                claim->lease.adapter, claim->lease.resident->version,
+                CmTime_DiffMs(claim->granted, claim->lease.since));
     claim->session = NULL;
     g_hash_table_replace(slots->claims, claim->id, claim);
 }
--- a/programs/coriandermoor/commands.c
+++ b/programs/coriandermoor/commands.c
@@ -14,7 +14,10 @@
 
 #include "config/config.h"
 #include "config/settings.h"
+#include "config/yaml.h"
+#include "config/settings.h"
 #include "entry_main.h"
+#include "explain.h"
 #include "gateway/gateway_main.h"
 #include "http/client.h"
 
@@ -113,6 +116,42 @@
     return Gateway_Main(path != NULL ? path : SETTINGS_DEFAULT);
 }
 
+int
+Command_Explain(int argc, char **argv)
+{
+    static const struct option names[] = {
+        {"request", required_argument, NULL, 'r'},
+        {"summary", no_argument, NULL, 's'},
+        {"help", no_argument, NULL, 'h'},
+        {0}};
+    const char *request = NULL;
+    bool summary = false;
+    bool help = false;
+    bool sound = true;
+    int code;
+    while ((code = getopt_long(argc, argv, "r:sh", names, NULL)) != -1) {
+        switch (code) {
+        case 'r':
+            request = optarg;
+            break;
+        case 's':
+            summary = true;
+            break;
+        case 'h':
+            help = true;
+            break;
+        default:
+            sound = false;
+            break;
+        }
+    }
+    if (help || !sound || summary == (request != NULL)) {
+        return usage(help, "explain --request ID [LOG...], or "
+                           "explain --summary [LOG...]");
+    }
+    return Explain_Run(request, argv + optind, (size_t)(argc - optind));
+}
+
 static void
 print_findings_json(const struct cm_findings *findings)
 {
@@ -132,6 +171,20 @@
     json_decref(report);
 }
 
+static void
+print_findings(const struct options *options,
+               const struct cm_findings *findings)
+{
+    if (options->json) {
+        print_findings_json(findings);
+    }
+    else if (findings->count > 0) {
+        char *report = CmFindings_Report(findings);
+        fputs(report, stderr);
+        g_free(report);
+    }
+}
+
 /// Checks a text and prints what was found.
 /// @return whether it is sound.
 static bool
@@ -141,14 +194,7 @@
     CmFindings_Init(&findings, options->file, CM_FINDINGS_MAX);
     struct cm_config config;
     bool sound = CmConfig_Init(&config, text, size, &findings);
-    if (options->json) {
-        print_findings_json(&findings);
-    }
-    else if (!sound) {
-        char *report = CmFindings_Report(&findings);
-        fputs(report, stderr);
-        g_free(report);
-    }
+    print_findings(options, &findings);
     CmConfig_Finish(&config);
     CmFindings_Finish(&findings);
     return sound;
@@ -166,13 +212,46 @@
     return text;
 }
 
+/// Prints all findings of the settings of a gateway, or of an agent that keeps
+/// slots: a gateway's name the store.
+static int
+check_settings(const struct options *options)
+{
+    size_t size;
+    char *text = load_text(options->settings, &size);
+    if (text == NULL) {
+        return CM_EXIT_USAGE;
+    }
+    struct cm_findings findings;
+    CmFindings_Init(&findings, options->settings, CM_FINDINGS_MAX);
+    bool sound;
+    if (strstr(text, "store:") != NULL) {
+        struct cm_gateway_settings settings;
+        sound = CmSettings_ReadGateway(&settings, text, size, &findings);
+        CmYaml_Finish(&settings.common.yaml);
+    }
+    else {
+        struct cm_slots_settings settings;
+        sound = CmSettings_ReadSlots(&settings, text, size, &findings);
+        CmYaml_Finish(&settings.common.yaml);
+    }
+    print_findings(options, &findings);
+    CmFindings_Finish(&findings);
+    g_free(text);
+    return sound ? EXIT_SUCCESS : CM_EXIT_REFUSED;
+}
+
 int
 Command_Check(int argc, char **argv)
 {
     struct options options;
-    if (!parse_options(argc, argv, &options) || options.help ||
-        options.file == NULL) {
-        return usage(options.help, "check [--output text|json] FILE");
+    if (parse_options(argc, argv, &options) && !options.help &&
+        options.settings != NULL && options.file == NULL) {
+        return check_settings(&options);
+    }
+    if (options.help || options.file == NULL || options.settings != NULL) {
+        return usage(options.help, "check [--output text|json] FILE, or "
+                                   "check --settings FILE");
     }
     size_t size;
     char *text = load_text(options.file, &size);
--- a/programs/coriandermoor/commands.h
+++ b/programs/coriandermoor/commands.h
@@ -20,6 +20,8 @@
 int
 Command_Check(int argc, char **argv);
 int
+Command_Explain(int argc, char **argv);
+int
 Command_Apply(int argc, char **argv);
 int
 Command_Show(int argc, char **argv);
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -14,6 +14,7 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/histogram.h"
 #include "config/settings.h"
 #include "dispatch/budget.h"
 #include "dispatch/catalog.h"
@@ -41,6 +42,16 @@
     struct cm_counter version;
 };
 
+/// Latency histograms that the metrics address shows.
+enum gateway_latency {
+    LATENCY_LEASE,       ///< from arrival until the adapter was in its slot
+    LATENCY_FIRST_EVENT, ///< streams: from arrival to the first event
+    LATENCY_STREAM,      ///< streams: from arrival to the end
+    LATENCY_PLAIN,       ///< other answers of targets
+    LATENCY_OWN,         ///< refusals and failures of the gateway's own
+    N_LATENCIES
+};
+
 struct gateway {
     struct cm_gateway_settings settings;
     struct event_base *base;
@@ -73,6 +84,7 @@
     struct event *tick;
     unsigned ticks;
     struct gateway_counters count;
+    struct cm_histogram latency[N_LATENCIES];
 };
 
 /// @return monotonic time.
--- a/programs/coriandermoor/gateway/probes.c
+++ b/programs/coriandermoor/gateway/probes.c
@@ -45,6 +45,7 @@
 {
     GString *text = g_string_new(NULL);
     CmCounters_Write(&probe->gateway->count.all, text);
+    CmHistogram_Write(probe->gateway->latency, N_LATENCIES, text);
     write_text(probe, STATUS_OK, text->str);
     g_string_free(text, TRUE);
 }
@@ -100,9 +101,27 @@
     accept_probe(context, fd, answer_metrics);
 }
 
+static void
+init_latencies(struct gateway *gateway)
+{
+    static const char *const labels[N_LATENCIES] = {
+        [LATENCY_LEASE] = "until=\"leased\"",
+        [LATENCY_FIRST_EVENT] = "until=\"first-event\"",
+        [LATENCY_STREAM] = "until=\"stream-end\"",
+        [LATENCY_PLAIN] = "until=\"answer\"",
+        [LATENCY_OWN] = "until=\"own-answer\"",
+    };
+    for (size_t i = 0; i < N_LATENCIES; i++) {
+        CmHistogram_Init(&gateway->latency[i], "cm_gateway_latency_seconds",
+                         "Time from a request's arrival, by what ended it.",
+                         labels[i]);
+    }
+}
+
 void
 Probes_InitCounters(struct gateway *gateway)
 {
+    init_latencies(gateway);
     struct gateway_counters *count = &gateway->count;
     struct cm_counters *all = &count->all;
     CmCounters_Init(all);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -95,6 +95,13 @@
                 reason[0] != '\0' ? ": " : "", reason);
 }
 
+static void
+count_latency(const struct request *request, enum gateway_latency latency)
+{
+    CmHistogram_Add(&request->gateway->latency[latency],
+                    since_arrival_ms(request, Gateway_Now(request->gateway)));
+}
+
 /// Ends the request after its answer has been written.
 static void
 answered(struct request *request, bool keep)
@@ -122,6 +129,7 @@
     CmH1Conn_Write(&request->caller->conn, out->str, out->len);
     g_string_free(out, TRUE);
     log_end(request, refusal ? "refused" : "failed", status, reason);
+    count_latency(request, LATENCY_OWN);
     if (refusal) {
         request->gateway->count.refused.value++;
     }
@@ -144,6 +152,7 @@
     CmH1Writer_Body(out, attempt->body->str, attempt->body->len);
     CmH1Conn_Write(&request->caller->conn, out->str, out->len);
     log_end(request, "answered", attempt->answer.status, "");
+    count_latency(request, LATENCY_PLAIN);
     request->gateway->count.answered.value++;
     answered(request, keep);
 }
@@ -266,6 +275,23 @@
                          target->agent_down_until);
 }
 
+/// One line for the engine that is asked, with what decided.
+static void
+log_choice(const struct request *request, const struct cm_pick *pick)
+{
+    struct timespec now = Gateway_Now(request->gateway);
+    const struct cm_live_target *target = pick->target;
+    CmLog_Event(
+        G_LOG_LEVEL_INFO, "place", request->asked.id,
+        "asks %s at %s for %s: cost %.0f ms, %s, backlog %.0f ms "
+        "told %" PRId64 " ms ago, %zu candidates",
+        target->id, target->address, request->asked.adapter, pick->cost_ms,
+        pick->holds ? "holds it" : "has to load it",
+        CmTarget_BacklogMs(target, now),
+        target->told.at.tv_sec != 0 ? CmTime_DiffMs(now, target->told.at) : -1,
+        pick->candidates);
+}
+
 /// @return how many prompts may be ahead. An engine that is best although it
 /// said busy is taken as it is, and so is any after a few asks.
 static int64_t
@@ -298,6 +324,7 @@
             }
         }
         else {
+            log_choice(request, &pick);
             int64_t wait_ms = MIN(LEASE_WAIT_MS, left_ms(request));
             request->phase = REQUEST_LEASING;
             if (Lease_Ask(request, pick.target, wait_ms,
@@ -351,6 +378,7 @@
         Request_NotLeased(request, "the target is leaving");
         return;
     }
+    count_latency(request, LATENCY_LEASE);
     send_to(request, target);
 }
 
@@ -417,6 +445,7 @@
         request->last_event = Gateway_Now(request->gateway);
         if (request->first_event.tv_sec == 0) {
             request->first_event = request->last_event;
+            count_latency(request, LATENCY_FIRST_EVENT);
         }
         write_events(request, events);
         set_progress_timer(request);
@@ -437,6 +466,7 @@
     CmH1Conn_Write(&request->caller->conn, out->str, out->len);
     g_string_free(out, TRUE);
     log_end(request, "answered", request->attempt.answer.status, "");
+    count_latency(request, LATENCY_STREAM);
     request->gateway->count.answered.value++;
     answered(request, request->keep);
 }
--- a/programs/coriandermoor/main.c
+++ b/programs/coriandermoor/main.c
@@ -16,6 +16,7 @@
     {"entry", Command_Entry, "serve callers and operators"},
     {"gateway", Command_Gateway, "serve callers on the users' platform"},
     {"check", Command_Check, "check a text and print its findings"},
+    {"explain", Command_Explain, "tell from logs why a request ended so"},
     {"apply", Command_Apply, "submit a text"},
     {"show", Command_Show, "print the text in force"},
     {"status", Command_Status, "print the state of the fleet"},
