feat(dispatch): adapters that nobody has are fetched by their first engines

Change: an engine outside an adapter's first two fetches it from the store only to relieve engines that have it, or as a last resort.

--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -27,6 +27,9 @@
 /// it takes, and for the store also what it delays other loads.
 #define WARM_LOAD_MS 40.0
 #define COLD_LOAD_MS 600.0
+/// The same if no engine is known to have the adapter: other entries would
+/// not find it here, and fetch it once more.
+#define STRAY_LOAD_MS 1500.0
 /// The same at the first engines of an adapter's order, which are likely to
 /// be asked for it again.
 #define HOMES 2
@@ -113,26 +116,38 @@
     return wait * (1.0 - age / SLOTS_AGE_MS);
 }
 
+static bool
+is_warm(const struct cm_copy *copy, struct timespec now)
+{
+    return copy != NULL &&
+           (copy->held || CmTime_DiffMs(now, copy->seen) < CM_COPY_WARM_MS);
+}
+
 /// Cost of having the adapter in a slot there.
-/// @param rank place of the target in the adapter's order, if below HOMES.
+/// @param rank   place of the target in the adapter's order, if below HOMES.
+/// @param copied whether some engine has it.
 static double
 adapter_cost(const struct cm_copy *copy, const struct cm_live_target *target,
-             size_t rank, struct timespec now)
+             size_t rank, bool copied, struct timespec now)
 {
     if (copy != NULL && copy->held) {
         return 0;
     }
     double slot = slot_cost(target, now);
-    if (copy != NULL && CmTime_DiffMs(now, copy->seen) < CM_COPY_WARM_MS) {
+    if (is_warm(copy, now)) {
         return slot + WARM_LOAD_MS;
     }
-    return slot + (rank < HOMES ? home_load_ms[rank] : COLD_LOAD_MS);
+    if (rank < HOMES) {
+        return slot + home_load_ms[rank];
+    }
+    return slot + (copied ? COLD_LOAD_MS : STRAY_LOAD_MS);
 }
 
 /// First engines in an adapter's order, best first.
 struct homes {
     const struct cm_live_target *targets[HOMES];
     uint64_t scores[HOMES];
+    bool copied; ///< some engine has the adapter
 };
 
 static void
@@ -166,6 +181,9 @@
             is_ejected(target, now) == ejected) {
             add_home(homes, target,
                      CmHash_Bytes(&target->hash, sizeof(target->hash), seed));
+            homes->copied =
+                homes->copied ||
+                is_warm(CmTarget_Copy(target, request->adapter), now);
         }
     }
 }
@@ -200,7 +218,8 @@
             adapter != NULL ? CmTarget_Copy(target, adapter) : NULL;
         double cost = queue_cost(target, now);
         if (adapter != NULL) {
-            cost += adapter_cost(copy, target, home_rank(&homes, target), now);
+            cost += adapter_cost(copy, target, home_rank(&homes, target),
+                                 homes.copied, now);
         }
         pick->candidates++;
         if (pick->target == NULL || cost < pick->cost_ms) {
