feat(residency): loads that can still be on time go first, then shared ones

Change: an ask tells until when an answer is on time; an agent loads first what can be, then by priority, then what more requests wait for. The message test compared padding bytes; it compares each member now.

--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -26,6 +26,7 @@
     int64_t slots;    ///< adapters the engine may hold
     int64_t backlog_max_ms; ///< prompts ahead beyond which it says busy
     int64_t wait_ms;        ///< for how long the gateway waits
+    int64_t on_time_ms; ///< an answer is on time if granted within this time
 };
 
 enum cm_lease_outcome {
--- a/packages/residency/include/residency/residency_defs.h
+++ b/packages/residency/include/residency/residency_defs.h
@@ -29,6 +29,8 @@
 #define CM_RESIDENCY_COLD_SLOW 1.5
 /// Adapters that an engine keeps copies of outside its slots.
 #define CM_RESIDENCY_KEPT 30
+/// Time that a load from the store takes at least.
+#define CM_RESIDENCY_LOAD_MS 250
 /// Time after which a replacement that has not shown is ordered again.
 #define CM_RESIDENCY_REPLACE_MS 1500
 /// Time for which an adapter that the engine would not unload, as runs use it
@@ -62,8 +64,9 @@
 struct cm_lease {
     TAILQ_ENTRY(cm_lease) link;
     char *adapter;
-    int64_t version;  ///< at least; 0 for any
-    int64_t priority; ///< 0 is the most urgent
+    int64_t version;    ///< at least; 0 for any
+    int64_t priority;   ///< 0 is the most urgent
+    int64_t on_time_ms; ///< an answer is on time if granted within this time
     bool granted;
     struct cm_resident *resident; ///< while granted
     struct timespec since;
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -9,17 +9,31 @@
 static const char *const outcome_names[] = {"held", "pinned", "late", "busy",
                                             "down"};
 
+/// The numbers of an ask by name, so that both directions agree.
+static const struct {
+    const char *name;
+    size_t offset;
+} ask_numbers[] = {
+    {"version", offsetof(struct cm_lease_ask, version)},
+    {"priority", offsetof(struct cm_lease_ask, priority)},
+    {"tokens", offsetof(struct cm_lease_ask, tokens)},
+    {"slots", offsetof(struct cm_lease_ask, slots)},
+    {"backlog_max_ms", offsetof(struct cm_lease_ask, backlog_max_ms)},
+    {"wait_ms", offsetof(struct cm_lease_ask, wait_ms)},
+    {"on_time_ms", offsetof(struct cm_lease_ask, on_time_ms)},
+};
+
 char *
 CmLeaseAsk_Encode(const struct cm_lease_ask *ask)
 {
-    json_t *body = json_pack(
-        "{s:s,s:s,s:s,s:s,s:s*,s:I,s:I,s:I,s:I,s:I,s:I}", "id", ask->id,
-        "gateway", ask->gateway, "target", ask->target, "model", ask->model,
-        "adapter", ask->adapter, "version", (json_int_t)ask->version,
-        "priority", (json_int_t)ask->priority, "tokens",
-        (json_int_t)ask->tokens, "slots", (json_int_t)ask->slots, "wait_ms",
-        (json_int_t)ask->wait_ms, "backlog_max_ms",
-        (json_int_t)ask->backlog_max_ms);
+    json_t *body = json_pack("{s:s,s:s,s:s,s:s,s:s*}", "id", ask->id,
+                             "gateway", ask->gateway, "target", ask->target,
+                             "model", ask->model, "adapter", ask->adapter);
+    for (size_t i = 0; i < G_N_ELEMENTS(ask_numbers); i++) {
+        const int64_t *number =
+            (const void *)((const char *)ask + ask_numbers[i].offset);
+        json_object_set_new(body, ask_numbers[i].name, json_integer(*number));
+    }
     char *text = json_dumps(body, JSON_COMPACT);
     json_decref(body);
     return text;
@@ -34,33 +48,21 @@
     const char *target;
     const char *model;
     const char *adapter = NULL;
-    json_int_t version;
-    json_int_t priority;
-    json_int_t tokens;
-    json_int_t slots;
-    json_int_t wait_ms;
-    json_int_t backlog_max_ms;
-    bool sound =
-        json_unpack(json, "{s:s,s:s,s:s,s:s,s?s,s:I,s:I,s:I,s:I,s:I,s:I}",
-                    "id", &id, "gateway", &gateway, "target", &target, "model",
-                    &model, "adapter", &adapter, "version", &version,
-                    "priority", &priority, "tokens", &tokens, "slots", &slots,
-                    "wait_ms", &wait_ms, "backlog_max_ms",
-                    &backlog_max_ms) == 0;
+    bool sound = json_unpack(json, "{s:s,s:s,s:s,s:s,s?s}", "id", &id,
+                             "gateway", &gateway, "target", &target, "model",
+                             &model, "adapter", &adapter) == 0;
+    for (size_t i = 0; sound && i < G_N_ELEMENTS(ask_numbers); i++) {
+        const json_t *number = json_object_get(json, ask_numbers[i].name);
+        int64_t *value = (void *)((char *)ask + ask_numbers[i].offset);
+        sound = json_is_integer(number);
+        *value = json_integer_value(number);
+    }
     if (sound) {
-        *ask = (struct cm_lease_ask){
-            .id = g_strdup(id),
-            .gateway = g_strdup(gateway),
-            .target = g_strdup(target),
-            .model = g_strdup(model),
-            .adapter = g_strdup(adapter),
-            .version = version,
-            .priority = priority,
-            .tokens = tokens,
-            .slots = slots,
-            .wait_ms = wait_ms,
-            .backlog_max_ms = backlog_max_ms,
-        };
+        ask->id = g_strdup(id);
+        ask->gateway = g_strdup(gateway);
+        ask->target = g_strdup(target);
+        ask->model = g_strdup(model);
+        ask->adapter = g_strdup(adapter);
     }
     json_decref(json);
     return sound;
--- a/packages/residency/src/residency.c
+++ b/packages/residency/src/residency.c
@@ -330,46 +330,128 @@
            CmTime_DiffMs(now, resident->replaced) < CM_RESIDENCY_REPLACE_MS;
 }
 
-bool
-CmResidency_NextOrder(struct cm_residency *residency, struct timespec now,
-                      struct cm_residency_order *order)
+/// What the engine has under way and room for.
+struct occupancy {
+    int64_t held;
+    int64_t incoming;
+    int64_t cold;
+};
+
+static struct occupancy
+occupancy_of(const struct cm_residency *residency)
 {
-    int64_t held = 0;
-    int64_t incoming = 0;
-    int64_t cold = 0;
-    struct cm_resident *resident;
+    struct occupancy occupancy = {0};
+    const struct cm_resident *resident;
     CmList_FOREACH (resident, &residency->residents, link) {
-        held++;
-        incoming += resident->incoming;
-        cold += resident->incoming && resident->cold;
+        occupancy.held++;
+        occupancy.incoming += resident->incoming;
+        occupancy.cold += resident->incoming && resident->cold;
     }
-    if (incoming >= CM_RESIDENCY_INCOMING_MAX) {
+    return occupancy;
+}
+
+/// @return whether the lease's adapter could be loaded now if it has a slot.
+static bool
+may_load(struct cm_residency *residency, const struct cm_lease *lease,
+         const struct occupancy *occupancy, struct timespec now)
+{
+    const struct cm_resident *resident = find(residency, lease->adapter);
+    if (resident != NULL &&
+        (resident->incoming || is_being_replaced(resident, now))) {
         return false;
     }
+    return (double)occupancy->cold + 1 <= residency->cold_window ||
+           is_kept(residency, lease->adapter);
+}
+
+/// How much a load is worth now; compared member by member.
+struct load_rank {
+    int64_t priority; ///< of the most urgent lease; lower goes first
+    bool on_time;     ///< some lease can still be answered on time
+    int leases;       ///< that wait for it
+};
+
+static bool
+is_on_time(const struct cm_lease *lease, struct timespec now)
+{
+    return CmTime_DiffMs(now, lease->since) + CM_RESIDENCY_LOAD_MS <=
+           lease->on_time_ms;
+}
+
+static struct load_rank
+rank_of(const struct cm_residency *residency, const struct cm_lease *lease,
+        struct timespec now)
+{
+    struct load_rank rank = {.priority = lease->priority};
+    const struct cm_lease *other;
+    CmTailq_FOREACH (other, &residency->waiting, link) {
+        if (strcmp(other->adapter, lease->adapter) == 0) {
+            rank.priority = MIN(rank.priority, other->priority);
+            rank.on_time = rank.on_time || is_on_time(other, now);
+            rank.leases++;
+        }
+    }
+    return rank;
+}
+
+static bool
+goes_before(const struct load_rank *a, const struct load_rank *b)
+{
+    if (a->on_time != b->on_time) {
+        return a->on_time;
+    }
+    if (a->priority != b->priority) {
+        return a->priority < b->priority;
+    }
+    return a->leases > b->leases;
+}
+
+/// @return the lease whose adapter is loaded next, or NULL.
+static const struct cm_lease *
+choose_lease(struct cm_residency *residency, const struct occupancy *occupancy,
+             struct timespec now)
+{
+    const struct cm_lease *best = NULL;
+    struct load_rank best_rank = {0};
     const struct cm_lease *lease;
     CmTailq_FOREACH (lease, &residency->waiting, link) {
-        resident = find(residency, lease->adapter);
-        if (resident != NULL &&
-            (resident->incoming || is_being_replaced(resident, now))) {
+        if (!is_first_of_its_adapter(residency, lease) ||
+            !may_load(residency, lease, occupancy, now)) {
             continue;
         }
-        if ((double)cold + 1 > residency->cold_window &&
-            !is_kept(residency, lease->adapter)) {
-            continue;
-        }
-        if (resident != NULL || held < residency->slots) {
-            *order = (struct cm_residency_order){
-                true, g_strdup(lease->adapter), lease->version};
-            return true;
-        }
-        struct cm_resident *victim = choose_victim(residency, now);
-        if (victim != NULL) {
-            *order = (struct cm_residency_order){false,
-                                                 g_strdup(victim->adapter), 0};
-            return true;
+        struct load_rank rank = rank_of(residency, lease, now);
+        if (best == NULL || goes_before(&rank, &best_rank)) {
+            best = lease;
+            best_rank = rank;
         }
     }
-    return false;
+    return best;
+}
+
+bool
+CmResidency_NextOrder(struct cm_residency *residency, struct timespec now,
+                      struct cm_residency_order *order)
+{
+    struct occupancy occupancy = occupancy_of(residency);
+    if (occupancy.incoming >= CM_RESIDENCY_INCOMING_MAX) {
+        return false;
+    }
+    const struct cm_lease *lease = choose_lease(residency, &occupancy, now);
+    if (lease == NULL) {
+        return false;
+    }
+    if (find(residency, lease->adapter) != NULL ||
+        occupancy.held < residency->slots) {
+        *order = (struct cm_residency_order){true, g_strdup(lease->adapter),
+                                             lease->version};
+        return true;
+    }
+    const struct cm_resident *victim = choose_victim(residency, now);
+    if (victim == NULL) {
+        return false;
+    }
+    *order = (struct cm_residency_order){false, g_strdup(victim->adapter), 0};
+    return true;
 }
 
 void
--- a/packages/residency/tests/residency_test.c
+++ b/packages/residency/tests/residency_test.c
@@ -231,6 +231,41 @@
     CmResidency_Finish(&residency);
 }
 
+/// More loads are due than can be made: those whose answers can still be on
+/// time go first, then those that more requests wait for.
+static void
+test_order_of_loads(void)
+{
+    static const struct {
+        const char *pattern;
+        int64_t on_time_ms[2]; ///< of the leases for "a" and "b"
+        int leases[2];
+        const char *order;
+    } cases[] = {
+        {"the earlier one", {800, 800}, {1, 1}, "+a"},
+        {"the one that can be on time", {300, 800}, {1, 1}, "+b"},
+        {"the one that more wait for", {800, 800}, {1, 2}, "+b"},
+        {"on time before many", {800, 300}, {1, 2}, "+a"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_residency residency;
+        CmResidency_Init(&residency, SLOTS);
+        struct cm_lease leases[4];
+        size_t n = 0;
+        for (size_t k = 0; k < 2; k++) {
+            for (int l = 0; l < cases[i].leases[k]; l++) {
+                leases[n] = lease_for(k == 0 ? "a" : "b", 0);
+                leases[n].on_time_ms = cases[i].on_time_ms[k];
+                CmResidency_Ask(&residency, &leases[n], at((int64_t)n));
+                n++;
+            }
+        }
+        CU_ASSERT_STRING_EQUAL(next_order(&residency, at(200)),
+                               cases[i].order);
+        CmResidency_Finish(&residency);
+    }
+}
+
 /// Leases of urgent requests go before others.
 static void
 test_priority(void)
@@ -342,8 +377,13 @@
 static void
 test_messages(void)
 {
-    struct cm_lease_ask ask = {"r1", "g", "i-1", "m", "m/a",
-                               2,    1,   900,   5,   250,   300};
+    struct cm_lease_ask ask = {.id = "r1",
+                               .gateway = "g",
+                               .target = "i-1",
+                               .model = "m",
+                               .adapter = "m/a",
+                               .version = 2,
+                               .wait_ms = 300};
     char *text = CmLeaseAsk_Encode(&ask);
     struct cm_lease_ask read;
     CU_ASSERT_FATAL(CmLeaseAsk_Decode(&read, text, strlen(text)));
@@ -356,7 +396,15 @@
     text = CmLeaseReply_Encode(&reply);
     struct cm_lease_reply answer = {0};
     CU_ASSERT_FATAL(CmLeaseReply_Decode(&answer, text, strlen(text)));
-    CU_ASSERT_EQUAL(memcmp(&answer, &reply, sizeof(reply)), 0);
+    // Member by member: the bytes between them are not defined.
+    CU_ASSERT_EQUAL(answer.outcome, reply.outcome);
+    CU_ASSERT_EQUAL(answer.version, reply.version);
+    CU_ASSERT_EQUAL(answer.free_slots, reply.free_slots);
+    CU_ASSERT_EQUAL(answer.waiting_adapters, reply.waiting_adapters);
+    CU_ASSERT_EQUAL(answer.backlog_ms, reply.backlog_ms);
+    CU_ASSERT_EQUAL(answer.gateways, reply.gateways);
+    CU_ASSERT_EQUAL(answer.running, reply.running);
+    CU_ASSERT_EQUAL(answer.waiting, reply.waiting);
     free(text);
     static const char *const broken[] = {"", "{}", "[1]", "{\"id\": 3}",
                                          "{\"outcome\": \"perhaps\"}"};
@@ -375,6 +423,7 @@
     {"window of store loads", test_window},
     {"window adapts", test_window_adapts},
     {"replacement", test_replacement},
+    {"order of loads", test_order_of_loads},
     {"priority", test_priority},
     {"random run", test_random_run},
     {"messages", test_messages},
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -193,6 +193,7 @@
         .adapter = g_steal_pointer(&ask->adapter),
         .version = ask->version,
         .priority = ask->priority,
+        .on_time_ms = ask->on_time_ms,
         .notify = on_granted,
         .context = claim,
     };
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -14,6 +14,8 @@
 /// Time for which an agent that does not answer is left alone.
 #define AGENT_DOWN_MS 1000
 #define STATUS_OK 200
+/// Time from a grant to the first event at an engine that is not busy.
+#define FIRST_EVENT_MS 150
 
 static bool
 on_head(void *context, const struct cm_h1_head *head)
@@ -122,6 +124,8 @@
         .slots = spec != NULL ? spec->engine.adapter_slots : 1,
         .wait_ms = wait_ms,
         .backlog_max_ms = backlog_max_ms,
+        .on_time_ms = request->route->target_ms - FIRST_EVENT_MS -
+                      CmTime_DiffMs(Gateway_Now(gateway), request->arrived),
     };
     char *body = CmLeaseAsk_Encode(&ask);
     GString *message = compose(CM_LEASE_PATH, target->agent, body);
