feat(gateway): engines count as ready as soon as their agents say so

Change: gateways ask the agents of engines without a model at each tick and believe the answer; a model once there stays for that incarnation.

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -57,7 +57,8 @@
     bool same_zone;
     bool draining;
     bool has_model;
-    bool listed; ///< seen in the list that is being read
+    bool asked_for_model; ///< its agent is being asked
+    bool listed;          ///< seen in the list that is being read
     int64_t slots;
     int64_t started_ms;
     int references; ///< the table and each attempt
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -164,7 +164,8 @@
     target->same_zone = strcmp(info->zone, targets->zone) == 0;
     // An engine that is leaving does not come back.
     target->draining = target->draining || info->draining;
-    target->has_model = info->has_model;
+    // Nobody takes it away; the list lags behind what agents tell.
+    target->has_model = target->has_model || info->has_model;
     target->slots = info->slots;
     target->listed = true;
     return target;
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -246,8 +246,12 @@
     note_gateway(slots, ask.gateway);
     bool meant = Engine_Want(slots, ask.target, ask.model);
     bool later = false;
-    if (ask.adapter == NULL || !meant || !Engine_Serves(slots) ||
-        strchr(ask.adapter, '/') == NULL) {
+    bool serves = meant && Engine_Serves(slots);
+    if (ask.adapter == NULL) {
+        reply(session, serves ? CM_LEASE_OUTCOME_HELD : CM_LEASE_OUTCOME_DOWN,
+              0);
+    }
+    else if (!serves || strchr(ask.adapter, '/') == NULL) {
         reply(session, CM_LEASE_OUTCOME_DOWN, 0);
     }
     else if (backlog_ms(slots) > (double)ask.backlog_max_ms) {
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -82,7 +82,6 @@
     struct event *interrupt;
     struct event *hangup;
     struct event *tick;
-    unsigned ticks;
     struct gateway_counters count;
     struct cm_histogram latency[N_LATENCIES];
 };
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -18,8 +18,6 @@
 
 /// Interval of slow checks.
 #define TICK_MS 200
-/// Ticks between two questions for missing base models.
-#define MODEL_TICKS 4
 /// Gateways assumed until an agent has told how many there are: the reserve of
 /// repeats is shared among all.
 #define GATEWAYS_UNKNOWN 32
@@ -115,9 +113,7 @@
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     struct gateway *gateway = context;
-    if (++gateway->ticks % MODEL_TICKS == 0) {
-        ask_for_models(gateway);
-    }
+    ask_for_models(gateway);
     check_stop(gateway);
 }
 
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -157,6 +157,8 @@
 
 /// Time after which a notice's call is given up.
 #define NOTICE_TIMEOUT_MS 3000
+/// The same for a question after a base model.
+#define MODEL_ASK_TIMEOUT_MS 800
 
 static bool
 on_notice_head(void *context, const struct cm_h1_head *head)
@@ -224,16 +226,85 @@
     drop_target(lease);
 }
 
+/// A question whether an engine has its base model.
+struct model_ask {
+    struct cm_h1_call call;
+    struct event *timer;
+    struct cm_live_target *target;
+    GString *body;
+};
+
+static void
+model_ask_free(struct model_ask *ask)
+{
+    CmH1Call_Cancel(&ask->call);
+    event_free(ask->timer);
+    ask->target->asked_for_model = false;
+    CmTarget_Unref(ask->target);
+    g_string_free(ask->body, TRUE);
+    g_free(ask);
+}
+
+static void
+on_model_body(void *context, const void *data, size_t size)
+{
+    struct model_ask *ask = context;
+    g_string_append_len(ask->body, data, (gssize)size);
+}
+
+static void
+on_model_end(void *context, enum cm_h1_call_end end)
+{
+    struct model_ask *ask = context;
+    struct cm_lease_reply reply;
+    if (end == CM_H1_CALL_WHOLE &&
+        CmLeaseReply_Decode(&reply, ask->body->str, ask->body->len) &&
+        reply.outcome == CM_LEASE_OUTCOME_HELD) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
+                    "%s at %s has its model", ask->target->id,
+                    ask->target->address);
+        ask->target->has_model = true;
+    }
+    model_ask_free(ask);
+}
+
+static void
+on_model_timeout(evutil_socket_t fd, short what, void *context)
+{
+    model_ask_free(context);
+}
+
+static const struct cm_h1_call_handler model_handler = {
+    on_notice_head, on_model_body, on_model_end};
+
 void
 Lease_AskForModel(struct gateway *gateway, struct cm_live_target *target,
                   const char *model)
 {
+    if (target->asked_for_model) {
+        return;
+    }
     struct cm_lease_ask ask = {.id = "",
                                .gateway =
                                    (char *)gateway->settings.common.name,
                                .target = target->id,
                                .model = (char *)model};
     char *body = CmLeaseAsk_Encode(&ask);
-    send_notice(gateway, target->agent, CM_LEASE_PATH, body);
+    GString *message = compose(CM_LEASE_PATH, target->agent, body);
     free(body);
+    struct model_ask *asking = g_new0(struct model_ask, 1);
+    asking->target = CmTarget_Ref(target);
+    asking->body = g_string_new(NULL);
+    asking->timer = evtimer_new(gateway->base, on_model_timeout, asking);
+    struct timeval timeout = CmTime_Timeval(MODEL_ASK_TIMEOUT_MS);
+    evtimer_add(asking->timer, &timeout);
+    target->asked_for_model = true;
+    struct cm_h1_call_request call = {.address = target->agent,
+                                      .message = message,
+                                      .idle_max_ms = IDLE_MAX_MS};
+    if (!CmH1Call_Start(&asking->call, &gateway->pool, &call, &model_handler,
+                        asking)) {
+        model_ask_free(asking);
+    }
+    g_string_free(message, TRUE);
 }
--- a/programs/coriandermoor/gateway/lease.h
+++ b/programs/coriandermoor/gateway/lease.h
@@ -18,7 +18,7 @@
 void
 Lease_Release(struct request *request);
 
-/// Has the base model loaded where it is missing.
+/// Has the base model loaded where it is missing, and learns when it is there.
 void
 Lease_AskForModel(struct gateway *gateway, struct cm_live_target *target,
                   const char *model);
