feat(dispatch): targets that answer failures are passed over in proportion

Change: a share of failed answers by target, fading within seconds, weighs on its cost; a second first engine costs more than the first.

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -72,6 +72,8 @@
 
     GHashTable *copies; ///< adapter key to struct cm_copy
 
+    double fail_share; ///< of recent answers, as of `answered`
+    struct timespec answered;
     int failures; ///< in a row
     struct timespec ejected_until;
     struct timespec agent_down_until;
--- a/packages/dispatch/include/dispatch/targets.h
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -91,11 +91,18 @@
 double
 CmTarget_BacklogMs(const struct cm_live_target *target, struct timespec now);
 
-/// An attempt ended well, or by the target's fault.
+/// An attempt ended well, or by a failure that the target answers.
 void
-CmTarget_Succeeded(struct cm_live_target *target);
+CmTarget_Answered(struct cm_live_target *target, bool failed,
+                  struct timespec now);
 
+/// An attempt was lost by the target's fault, or never reached it.
 void
-CmTarget_Failed(struct cm_live_target *target, struct timespec now);
+CmTarget_Lost(struct cm_live_target *target, struct timespec now);
+
+/// @return share of its recent answers that were failures; it fades while
+/// nothing is sent there.
+double
+CmTarget_FailShare(const struct cm_live_target *target, struct timespec now);
 
 #endif
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -23,6 +23,10 @@
 #define ENGINE_REQUEST_MS 15.0
 /// The same for a plain target with all its slots taken.
 #define PLAIN_FULL_MS 30.0
+/// Cost of a target that fails all that it is sent; a part of it for a part
+/// of failures. Errors that lie in the requests themselves weigh on all alike.
+#define PLAIN_FAILING_MS 60.0
+#define ENGINE_FAILING_MS 500.0
 /// Cost of a load from the engine's own copies, and from the store: the time
 /// it takes, and for the store also what it delays other loads.
 #define WARM_LOAD_MS 40.0
@@ -33,7 +37,7 @@
 /// The same at the first engines of an adapter's order, which are likely to
 /// be asked for it again.
 #define HOMES 2
-static const double home_load_ms[HOMES] = {300.0, 350.0};
+static const double home_load_ms[HOMES] = {300.0, 450.0};
 /// Expected wait for one of an engine's slots to become free.
 #define SLOT_WAIT_MS 200.0
 /// Expected wait for each load that is due before.
@@ -83,6 +87,7 @@
         pick->candidates++;
         double slots = (double)MAX(target->slots, 1);
         double cost = CmTarget_Load(target, now) / slots * PLAIN_FULL_MS +
+                      CmTarget_FailShare(target, now) * PLAIN_FAILING_MS +
                       (target->same_zone ? 0 : OTHER_ZONE_MS);
         bool ejected = is_ejected(target, now);
         if (pick->target == NULL || (best_ejected && !ejected) ||
@@ -99,6 +104,7 @@
 queue_cost(const struct cm_live_target *target, struct timespec now)
 {
     return CmTarget_BacklogMs(target, now) +
+           CmTarget_FailShare(target, now) * ENGINE_FAILING_MS +
            CmTarget_Load(target, now) * ENGINE_REQUEST_MS +
            (target->same_zone ? 0 : OTHER_ZONE_MS);
 }
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -3,6 +3,7 @@
 
 #include "dispatch/targets.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,10 @@
 #define EJECT_FAILURES 3
 /// Time for which it is left out: a crashed target takes seconds to return.
 #define EJECT_MS 2000
+/// Weight of one answer in a target's share of failures, and the time in
+/// which that share fades by half: a few answers tell, a few seconds forgive.
+#define FAIL_WEIGHT 0.25
+#define FAIL_HALF_LIFE_MS 3000.0
 /// Age after which a reported load is worth nothing: several service times.
 #define REPORT_AGE_MS 1000
 
@@ -335,15 +340,33 @@
         before + age_ms + (double)tokens / CM_PREFILL_TOKENS_PER_MS;
 }
 
+double
+CmTarget_FailShare(const struct cm_live_target *target, struct timespec now)
+{
+    double age_ms = (double)CmTime_DiffMs(now, target->answered);
+    return target->fail_share * exp2(-age_ms / FAIL_HALF_LIFE_MS);
+}
+
+static void
+count_outcome(struct cm_live_target *target, bool failed, struct timespec now)
+{
+    double before = CmTarget_FailShare(target, now);
+    target->fail_share = before + FAIL_WEIGHT * ((failed ? 1 : 0) - before);
+    target->answered = now;
+}
+
 void
-CmTarget_Succeeded(struct cm_live_target *target)
+CmTarget_Answered(struct cm_live_target *target, bool failed,
+                  struct timespec now)
 {
     target->failures = 0;
+    count_outcome(target, failed, now);
 }
 
 void
-CmTarget_Failed(struct cm_live_target *target, struct timespec now)
+CmTarget_Lost(struct cm_live_target *target, struct timespec now)
 {
+    count_outcome(target, true, now);
     if (++target->failures >= EJECT_FAILURES) {
         target->ejected_until = CmTime_AddMs(now, EJECT_MS);
         target->failures = EJECT_FAILURES - 1;
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -154,11 +154,34 @@
         int in_flight[2];
         bool ejected[2];
         int picked;
+        int failures[2]; ///< answered, of the last eight
     } cases[] = {
-        {"its own zone among equals", {"b", "a"}, {0, 0}, {false, false}, 1},
-        {"the less loaded one", {"b", "a"}, {0, 5}, {false, false}, 0},
-        {"one that fails is left out", {"b", "a"}, {3, 0}, {false, true}, 0},
-        {"unless both fail", {"b", "a"}, {0, 0}, {true, true}, 1},
+        {"its own zone among equals",
+         {"b", "a"},
+         {0, 0},
+         {false, false},
+         1,
+         {0, 0}},
+        {"the less loaded one", {"b", "a"}, {0, 5}, {false, false}, 0, {0, 0}},
+        {"one that fails is left out",
+         {"b", "a"},
+         {3, 0},
+         {false, true},
+         0,
+         {0, 0}},
+        {"unless both fail", {"b", "a"}, {0, 0}, {true, true}, 1, {0, 0}},
+        {"one that fails half of its requests, its health good",
+         {"b", "a"},
+         {1, 0},
+         {false, false},
+         0,
+         {0, 4}},
+        {"errors that lie in the requests weigh on both alike",
+         {"b", "a"},
+         {0, 0},
+         {false, false},
+         1,
+         {1, 1}},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         struct cm_targets targets;
@@ -173,6 +196,10 @@
                                           .slots = 6};
             struct cm_live_target *target = CmTargets_Update(&targets, &info);
             target->in_flight = cases[i].in_flight[t];
+            for (int a = 0; a < 8; a++) {
+                CmTarget_Answered(target, a >= 8 - cases[i].failures[t],
+                                  now());
+            }
             if (cases[i].ejected[t]) {
                 target->ejected_until = CmTime_AddMs(now(), 1000);
             }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -523,7 +523,10 @@
         request->life.runs--;
     }
     if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST) {
-        CmTarget_Failed(target, now);
+        CmTarget_Lost(target, now);
+    }
+    else if (end == CM_ATTEMPT_FAILED) {
+        CmTarget_Answered(target, true, now);
     }
     if (request->attempt.answer.wrong && request->asked.adapter != NULL) {
         CmTarget_SetHolds(target, request->asked.adapter, false, now);
@@ -556,7 +559,8 @@
 {
     evtimer_del(request->timer);
     if (is_success(request, end)) {
-        CmTarget_Succeeded(request->attempt.target);
+        CmTarget_Answered(request->attempt.target, false,
+                          Gateway_Now(request->gateway));
         if (request->route->stream) {
             finish_stream(request);
         }
