test(soak): randomized faults on the real programs, promises checked from outside

Change: testing/soak: a loopback proxy that delays, resets, cuts one way and silences; signals, restarts, engines, store and orders that misbehave, in series and overlapping; at most once, true refusals, streams, adapters and versions, draining, configuration and recovery are checked.

--- /dev/null
+++ b/testing/soak/soak.py
@@ -0,0 +1,391 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of the path on the users' platform.
+
+Runs the real programs before the stand-ins, injects faults from outside them
+(connections through a proxy, signals, restarts, the store, engines) and
+checks promises by what callers and targets see. The same seed gives the same
+faults; their timing depends on the machine.
+
+    testing/soak/soak.py --seed 7 --seconds 60
+"""
+import argparse
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "testing" / "fleet"))
+
+from deployment import (Deployment, call, events_of,  # noqa: E402
+                        request_headers)
+from proxy import Proxy  # noqa: E402
+
+ADAPTERS = 14
+CALLERS_S = 25          # requests a second
+TOUCH_S = 6.0           # calm time after which time bounds hold again
+VERSION_BOUND_S = 5.0   # of the platform: an announced version binds
+DRAIN_BOUND_S = 2.0
+RECOVER_S = 15.0
+
+
+class Soak:
+    def __init__(self, args):
+        self.random = random.Random(args.seed)
+        self.seconds = args.seconds
+        folder = tempfile.mkdtemp(prefix=f"soak-{args.seed}-")
+        self.deployment = Deployment(args.build, folder, engines=4, plains=3,
+                                     gateways=3, adapter_slots=3,
+                                     port=args.port)
+        self.through_proxies()
+        self.sent = {}        # id to (route, adapter, gateway, time)
+        self.answers = {}     # id to (status, body, complete, time)
+        self.number = 0
+        self.announced = {}   # adapter to [(time, version)]
+        self.left = {}        # incarnation to time of leaving
+        self.last_fault = {}  # area to time
+        self.served_routes = [set() for _ in self.deployment.gateways]
+        self.violations = []
+        self.faults = 0
+        self.stopping = False
+
+    def through_proxies(self):
+        """Gateways reach engines and the store through proxies."""
+        d = self.deployment
+        self.engine_proxies = []
+        for i, engine in enumerate(d.engines):
+            host = f"127.0.5.{i + 1}"
+            proxy = Proxy(host, d.port, engine.host, engine.port)
+            self.engine_proxies.append(proxy)
+            entry = engine.entry
+            engine.entry = (lambda entry=entry, host=host: dict(
+                entry(), address=f"{host}:{d.port}"))
+            settings = d.folder / f"agent{i}.yaml"
+            settings.write_text(settings.read_text().replace(
+                f'listen: "{engine.host}', f'listen: "{host}'))
+        self.store_proxy = Proxy("127.0.6.1", d.port, d.store.host,
+                                 d.store.port)
+        for i in range(len(d.gateways)):
+            settings = d.folder / f"gateway{i}.yaml"
+            settings.write_text(settings.read_text().replace(
+                f'store: "{d.store.host}', 'store: "127.0.6.1'))
+
+    def fault(self, area):
+        self.faults += 1
+        self.last_fault[area] = time.monotonic()
+
+    def calm(self, *areas, since=None):
+        """Whether nothing disturbed these areas for a while."""
+        moment = since if since is not None else time.monotonic()
+        return all(moment - self.last_fault.get(a, -1e9) > TOUCH_S
+                   for a in areas)
+
+    def violated(self, text):
+        self.violations.append(text)
+        print(f"VIOLATED  {text}", flush=True)
+
+    # What callers do.
+
+    async def one_request(self):
+        self.number += 1
+        number, gateway = self.number, self.random.randrange(3)
+        route = self.random.choice(["resumed", "resumed", "once-stream",
+                                    "once", "again"])
+        adapter, events = None, 0
+        if "stream" in route or route == "resumed":
+            adapter = f"a{int(self.random.paretovariate(0.9)) % ADAPTERS}"
+            events = self.random.randint(3, 60)
+        request = f"{number:016x}"
+        self.sent[request] = (route, adapter, gateway, time.monotonic())
+        headers = request_headers(number, adapter, events=events,
+                                  deadline_ms=4000 if adapter else 1500)
+        try:
+            status, _, body, complete = await call(
+                f"127.0.3.{gateway + 1}", self.deployment.port,
+                "GET" if route == "again" else "POST", f"/{route}/1", headers,
+                b"" if route == "again" else b"x", timeout_s=8)
+        except (OSError, asyncio.TimeoutError):
+            return
+        self.answers[request] = (status, body, complete)
+        if adapter and 200 <= status < 300:
+            self.check_stream(request, adapter, events, body, complete)
+
+    def check_stream(self, request, adapter, events, body, complete):
+        whole = events_of(adapter, events)
+        if not whole.startswith(body):
+            self.violated(f"{request}: events of another stream")
+        elif complete != (body == whole):
+            self.violated(f"{request}: complete is {complete} with "
+                          f"{len(body)} of {len(whole)} bytes")
+
+    async def callers(self):
+        jobs = set()
+        while not self.stopping:
+            job = asyncio.ensure_future(self.one_request())
+            jobs.add(job)
+            job.add_done_callback(jobs.discard)
+            await asyncio.sleep(self.random.expovariate(CALLERS_S))
+        await asyncio.gather(*jobs)
+
+    async def watch_routes(self):
+        """A route that a gateway has served does not vanish again."""
+        while not self.stopping:
+            for i, process in enumerate(self.deployment.gateways):
+                for route in list(self.deployment.extra_routes)[-3:]:
+                    await self.probe_route(i, process, route)
+            await asyncio.sleep(0.5)
+
+    async def probe_route(self, i, process, route):
+        pid = process.process.pid
+        self.number += 1
+        request = f"{self.number:016x}"
+        self.sent[request] = ("probe", None, i, time.monotonic())
+        try:
+            status, _, _, _ = await call(
+                f"127.0.3.{i + 1}", self.deployment.port, "GET",
+                f"/{route}/1", {"X-Request-Id": request,
+                                "X-Deadline-Ms": "800"}, timeout_s=3)
+        except (OSError, asyncio.TimeoutError):
+            return
+        if status == 404 and (pid, route) in self.served_routes[i]:
+            self.violated(f"gateway {i} lost route {route} again")
+        if status == 200:
+            self.served_routes[i].add((pid, route))
+
+    # Faults. Each heals by itself; several overlap.
+
+    async def kill(self):
+        process = self.random.choice(self.deployment.gateways
+                                     + self.deployment.agents)
+        self.fault(process.name)
+        await process.kill()
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        await process.start()
+        self.fault(process.name)
+
+    async def pause(self):
+        process = self.random.choice(self.deployment.gateways
+                                     + self.deployment.agents)
+        self.fault(process.name)
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.3, 3))
+        process.signal(signal.SIGCONT)
+        self.fault(process.name)
+
+    async def planned_stop(self):
+        process = self.random.choice(self.deployment.gateways)
+        self.fault(process.name)
+        process.signal(signal.SIGHUP)
+        process.signal(signal.SIGTERM)
+        try:
+            code = await process.wait(10)
+            if code not in (0, -signal.SIGKILL):
+                self.violated(f"{process.name} ended with {code}")
+        except asyncio.TimeoutError:
+            if self.calm(process.name, since=time.monotonic() + 0.1):
+                self.violated(f"{process.name} did not stop")
+            await process.kill()
+        await process.start()
+        self.fault(process.name)
+
+    async def break_links(self):
+        proxy = self.random.choice(self.engine_proxies + [self.store_proxy])
+        area = "store" if proxy is self.store_proxy else "links"
+        self.fault(area)
+        kind = self.random.choice(["delay", "reset", "cut", "silence",
+                                   "refuse"])
+        if kind == "delay":
+            proxy.delay_s = self.random.uniform(0.02, 0.3)
+        elif kind == "reset":
+            proxy.reset()
+        elif kind == "cut":
+            proxy.cut.add(self.random.choice(["in", "out"]))
+        elif kind == "silence":
+            proxy.cut |= {"in", "out"}
+        else:
+            proxy.refusing = True
+            proxy.reset()
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        proxy.heal()
+        self.fault(area)
+
+    async def engine_trouble(self):
+        engine = self.random.choice(self.deployment.engines)
+        kind = self.random.choice(["crash", "drain", "late orders", "cut"])
+        self.fault(engine.host)
+        if kind == "late orders":
+            engine.lose_orders = 0.4
+            await asyncio.sleep(3)
+            engine.lose_orders = 0.0
+            return
+        if kind == "cut":
+            engine.cut_after = 4
+            await asyncio.sleep(2)
+            engine.cut_after = 0
+            return
+        if not engine.up:
+            return
+        if kind == "drain":
+            engine.draining = True
+            engine.store.put("servers", engine.id, engine.entry())
+            self.left[engine.id] = time.monotonic()
+            await asyncio.sleep(4)
+        if engine.up:
+            await engine.crash()
+            if self.random.random() < 0.7:
+                engine.leave_list()
+            await asyncio.sleep(self.random.uniform(0.2, 2))
+            await engine.start(model=False)
+
+    async def plain_trouble(self):
+        target = self.random.choice(self.deployment.plains)
+        target.lose_answer, target.fail = 0.3, 0.3
+        await asyncio.sleep(2)
+        target.lose_answer = target.fail = 0.0
+
+    async def store_trouble(self):
+        store = self.deployment.store
+        self.fault("store")
+        kind = self.random.choice(["silent", "refuse", "forget"])
+        if kind == "forget":
+            store.forget_history()
+            return
+        store.silent, store.refuse = kind == "silent", 503 * (kind ==
+                                                              "refuse")
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        store.silent, store.refuse = False, 0
+        self.fault("store")
+
+    async def change(self):
+        if self.random.random() < 0.5:
+            self.deployment.extra_routes.append(
+                f"extra{len(self.deployment.extra_routes)}")
+            self.deployment.configure()
+            return
+        adapter = f"a{self.random.randrange(ADAPTERS)}"
+        versions = self.announced.setdefault(adapter, [])
+        version = 2 + len(versions)
+        self.deployment.store.put("versions", f"m.{adapter}", {
+            "model": "m", "adapter": adapter, "version": version})
+        versions.append((time.monotonic(), version))
+
+    async def trouble(self):
+        kinds = [self.kill, self.pause, self.planned_stop, self.break_links,
+                 self.break_links, self.engine_trouble, self.plain_trouble,
+                 self.store_trouble, self.change, self.change]
+        busy = {}
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            kind = self.random.choice(kinds)
+            # One fault of a kind at a time; kinds overlap.
+            if kind not in busy or busy[kind].done():
+                busy[kind] = asyncio.ensure_future(kind())
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+        await asyncio.gather(*busy.values())
+
+    # What must hold in the end.
+
+    def check_runs(self):
+        runs = {}
+        for run in self.deployment.runs():
+            runs.setdefault(run[0], []).append(run)
+        for request, ran in runs.items():
+            if request not in self.sent:
+                self.violated(f"{request}: ran, but nobody sent it")
+                continue
+            self.check_one(request, ran)
+        for request, answer in self.answers.items():
+            if answer[0] in (503, 429, 408, 421) and request in runs:
+                if self.sent[request][0] in ("once", "once-stream"):
+                    self.violated(f"{request}: {answer[0]}, but it ran")
+        if any(e.overfilled for e in self.deployment.engines):
+            self.violated("an engine was told to hold too much")
+
+    def check_one(self, request, ran):
+        route, adapter, gateway, _ = self.sent[request]
+        if route in ("once", "once-stream") and len(ran) > 1:
+            self.violated(f"{request} on {route}: ran {len(ran)} times")
+        for _, _, run_adapter, version, incarnation, when in ran:
+            if run_adapter != adapter:
+                self.violated(f"{request}: ran on {run_adapter}")
+            calm = self.calm("store", f"gateway{gateway}", since=when)
+            for announced, number in self.announced.get(adapter, []):
+                if (calm and when > announced + VERSION_BOUND_S
+                        and version < number):
+                    self.violated(f"{request}: version {version}, "
+                                  f"{number} was announced")
+            leaving = self.left.get(incarnation)
+            if (calm and leaving is not None
+                    and when > leaving + DRAIN_BOUND_S + 0.5):
+                self.violated(f"{request}: ran on {incarnation}, which left "
+                              f"{when - leaving:.1f} s before")
+
+    async def check_recovery(self):
+        """After the last fault every gateway serves again."""
+        end = time.monotonic() + RECOVER_S
+        missing = set(range(len(self.deployment.gateways)))
+        while missing and time.monotonic() < end:
+            for i in list(missing):
+                self.number += 1
+                request = f"{self.number:016x}"
+                self.sent[request] = ("resumed", "a1", i, time.monotonic())
+                try:
+                    status, _, body, _ = await call(
+                        f"127.0.3.{i + 1}", self.deployment.port, "POST",
+                        "/resumed/1", request_headers(self.number, "a1",
+                                                      events=3), b"x",
+                        timeout_s=5)
+                except (OSError, asyncio.TimeoutError):
+                    continue
+                if status == 200 and body == events_of("a1", 3):
+                    missing.discard(i)
+            await asyncio.sleep(0.3)
+        for i in missing:
+            self.violated(f"gateway {i} does not serve {RECOVER_S:.0f} s "
+                          "after the last fault")
+
+    async def run(self):
+        d = self.deployment
+        for proxy in self.engine_proxies + [self.store_proxy]:
+            await proxy.open()
+        await d.up()
+        try:
+            jobs = [asyncio.ensure_future(self.callers()),
+                    asyncio.ensure_future(self.watch_routes())]
+            await self.trouble()
+            self.stopping = True
+            await asyncio.gather(*jobs)
+            await self.check_recovery()
+            self.check_runs()
+        finally:
+            await d.down()
+            for proxy in self.engine_proxies + [self.store_proxy]:
+                await proxy.close()
+        for path in d.sanitizer_reports():
+            self.violated(f"sanitizer report in {path}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default=str(ROOT / "build" / "test"))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--port", type=int, default=25000)
+    args = parser.parse_args()
+    soak = Soak(args)
+    asyncio.run(soak.run())
+    good = sum(a[0] == 200 for a in soak.answers.values())
+    print(f"seed {args.seed}: {soak.faults} faults, {len(soak.sent)} requests,"
+          f" {len(soak.answers)} answered, {good} well, "
+          f"{len(soak.violations)} violations; logs in "
+          f"{soak.deployment.folder}")
+    print(f"{0 if soak.violations else 1} passed, "
+          f"{1 if soak.violations else 0} failed")
+    return 1 if soak.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
