--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -117,8 +117,9 @@
     engine->has_model = false;
     g_hash_table_remove_all(engine->runs);
     CmResidency_BeginReport(&slots->residency);
-    bool sound = engine->status == STATUS_OK &&
-                 CmEngineCodec_Report(answer, &engine->report, &listener, slots);
+    bool sound =
+        engine->status == STATUS_OK &&
+        CmEngineCodec_Report(answer, &engine->report, &listener, slots);
     json_decref(answer);
     if (!sound) {
         engine_failed(slots, "its report is not understood");
@@ -273,11 +274,7 @@
     CmH1Writer_Request(message, "POST", CM_WIRE_ORDER_PATH);
     CmH1Writer_Header(message, "Host", slots->settings.engine);
     CmH1Writer_Header(message, "Content-Type", "application/json");
-    if (slots->engine.target != NULL) {
-        // A late order must not reach the engine's next incarnation.
-        CmH1Writer_Header(message, CM_WIRE_EXPECT_TARGET,
-                          slots->engine.target);
-    }
+    CmH1Writer_Header(message, CM_WIRE_EXPECT_TARGET, slots->engine.target);
     CmH1Writer_Body(message, body, strlen(body));
     free(body);
     slots->orders.value++;
@@ -340,12 +337,14 @@
         set_timer(slots, 0);
         return;
     }
-    if (wants_model(slots)) {
+    // An order that names no incarnation could reach the next one.
+    bool may_order = engine->target != NULL;
+    if (may_order && wants_model(slots)) {
         order_model(slots);
         return;
     }
     g_clear_pointer(&engine->order.adapter, g_free);
-    if (engine->has_model &&
+    if (may_order && engine->has_model &&
         CmResidency_NextOrder(&slots->residency, Slots_Now(slots),
                               &engine->order)) {
         order_adapter(slots);
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -286,6 +286,7 @@
         self.orders = 0
         self.order_log = []
         self.overfilled = False
+        self.unnamed_orders = 0
         self.lose_orders = 0.0
         self.cut_after = 0  # events after which each stream is cut
 
@@ -326,6 +327,7 @@
             return wrong
         if target == "/order":
             order = json.loads(body)
+            self.unnamed_orders += "x-expect-instance" not in headers
             self.order_log.append((order, time.monotonic()))
             if random.random() < self.lose_orders:
                 asyncio.get_running_loop().call_later(
