refactor(gateway,config): requests in three files; one start for all programs

Cause: request.c had grown to 725 lines; four programs read their settings by the same thirty lines; a limit on unread streams was named but not used.

--- a/packages/base/tests/histogram_test.c
+++ b/packages/base/tests/histogram_test.c
@@ -33,8 +33,10 @@
         CmHistogram_Write(histograms, 2, out);
         CU_ASSERT_PTR_NOT_NULL(strstr(out->str, cases[i].line));
         const char *help = strstr(out->str, "# HELP h Help.\n");
-        CU_ASSERT_PTR_NOT_NULL_FATAL(help);
-        CU_ASSERT_PTR_NULL(strstr(help + 1, "# HELP h"));
+        CU_ASSERT_PTR_NOT_NULL(help);
+        if (help != NULL) {
+            CU_ASSERT_PTR_NULL(strstr(help + 1, "# HELP h"));
+        }
         g_string_free(out, TRUE);
     }
 }
--- a/packages/config/src/settings.c
+++ b/packages/config/src/settings.c
@@ -92,6 +92,19 @@
         "log", CM_YAML_TABLE, false, offsetof(type, common.log), 0, 0         \
     }
 
+/// Parses a settings file and reads its fields into the struct at `read`.
+static void
+read_document(struct cm_yaml *yaml, const char *text, size_t size,
+              const struct cm_yaml_field *fields, size_t n_fields, void *read,
+              struct cm_findings *findings)
+{
+    CmYaml_Init(yaml, text, size, findings);
+    if (yaml->root != NULL) {
+        CmYaml_Read(yaml->root, "the settings", fields, n_fields, read,
+                    findings);
+    }
+}
+
 static void
 read_limits(struct cm_entry_settings *settings,
             const struct cm_yaml_node *node, struct cm_findings *findings)
@@ -149,11 +162,8 @@
                                              .stop_ms = 30000,
                                              .once_window_s = 3600};
     struct cm_yaml yaml;
-    CmYaml_Init(&yaml, text, size, findings);
-    if (yaml.root != NULL) {
-        CmYaml_Read(yaml.root, "the settings", fields, G_N_ELEMENTS(fields),
-                    &read, findings);
-    }
+    read_document(&yaml, text, size, fields, G_N_ELEMENTS(fields), &read,
+                  findings);
     *settings = read.values;
     settings->common.yaml = yaml;
     finish_common(&settings->common, &read.common, findings);
@@ -265,11 +275,8 @@
     };
     struct gateway_text read = {0};
     struct cm_yaml yaml;
-    CmYaml_Init(&yaml, text, size, findings);
-    if (yaml.root != NULL) {
-        CmYaml_Read(yaml.root, "the settings", fields, G_N_ELEMENTS(fields),
-                    &read, findings);
-    }
+    read_document(&yaml, text, size, fields, G_N_ELEMENTS(fields), &read,
+                  findings);
     *settings = read.values;
     settings->common.yaml = yaml;
     finish_common(&settings->common, &read.common, findings);
@@ -294,11 +301,8 @@
     };
     struct slots_text read = {0};
     struct cm_yaml yaml;
-    CmYaml_Init(&yaml, text, size, findings);
-    if (yaml.root != NULL) {
-        CmYaml_Read(yaml.root, "the settings", fields, G_N_ELEMENTS(fields),
-                    &read, findings);
-    }
+    read_document(&yaml, text, size, fields, G_N_ELEMENTS(fields), &read,
+                  findings);
     *settings = read.values;
     settings->common.yaml = yaml;
     finish_common(&settings->common, &read.common, findings);
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -13,6 +13,7 @@
 #include "agent.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "config/start.h"
 #include "health.h"
 #include "jobs.h"
 #include "orders.h"
@@ -284,8 +285,9 @@
 }
 
 static int
-run(struct agent *agent)
+run(void *state)
 {
+    struct agent *agent = state;
     GError *error = NULL;
     if (!agent_init(agent, &error)) {
         fprintf(stderr, "coriandermoor-agent: %s\n",
@@ -311,6 +313,13 @@
     return code;
 }
 
+static bool
+read_settings(void *settings, const char *text, size_t size,
+              struct cm_findings *findings)
+{
+    return CmSettings_ReadAgent(settings, text, size, findings);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -340,32 +349,8 @@
     if (path == NULL || optind != argc) {
         return usage(stderr, EXIT_FAILURE);
     }
-    signal(SIGPIPE, SIG_IGN);
-    size_t size;
-    GError *error = NULL;
-    char *text = CmSettings_LoadFile(path, &size, &error);
-    if (text == NULL) {
-        fprintf(stderr, "coriandermoor-agent: %s\n", error->message);
-        g_clear_error(&error);
-        return EXIT_FAILURE;
-    }
+    static const struct cm_program program = {"coriandermoor-agent",
+                                              read_settings, run};
     struct agent agent = {0};
-    struct cm_findings findings;
-    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
-    int result = EXIT_FAILURE;
-    if (CmSettings_ReadAgent(&agent.settings, text, size, &findings)) {
-        CmLog_Init(agent.settings.common.log_format,
-                   agent.settings.common.log_level,
-                   agent.settings.common.name);
-        result = run(&agent);
-    }
-    else {
-        char *report = CmFindings_Report(&findings);
-        fputs(report, stderr);
-        g_free(report);
-    }
-    CmSettings_FinishAgent(&agent.settings);
-    CmFindings_Finish(&findings);
-    g_free(text);
-    return result;
+    return CmProgram_Start(&program, path, &agent.settings, &agent);
 }
--- a/programs/coriandermoor-agent/slots/slots_main.c
+++ b/programs/coriandermoor-agent/slots/slots_main.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
-#include "config/yaml.h"
+#include "config/start.h"
 #include "engine.h"
 #include "gateways.h"
 #include "slots.h"
@@ -16,10 +16,6 @@
 #define SWEEP_MS 2000
 /// Slots until the first gateway tells how many the engine has.
 #define SLOTS_UNKNOWN 1
-/// Where the platform puts the settings unless the variable says otherwise.
-#define SETTINGS_DEFAULT "/etc/coriandermoor/boot.json"
-#define SETTINGS_VARIABLE "CORIANDERMOOR_BOOT"
-
 struct timespec
 Slots_Now(const struct slots *slots)
 {
@@ -105,8 +101,9 @@
 }
 
 static int
-run(struct slots *slots)
+run(void *state)
 {
+    struct slots *slots = state;
     slots_init(slots);
     GError *error = NULL;
     int code = EXIT_SUCCESS;
@@ -126,35 +123,11 @@
     return code;
 }
 
-static int
-run_with(const char *path)
+static bool
+read_settings(void *settings, const char *text, size_t size,
+              struct cm_findings *findings)
 {
-    size_t size;
-    GError *error = NULL;
-    char *text = CmSettings_LoadFile(path, &size, &error);
-    if (text == NULL) {
-        fprintf(stderr, "coriandermoor-agent: %s\n", error->message);
-        g_clear_error(&error);
-        return EXIT_FAILURE;
-    }
-    struct slots slots = {0};
-    struct cm_findings findings;
-    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
-    int code = EXIT_FAILURE;
-    if (CmSettings_ReadSlots(&slots.settings, text, size, &findings)) {
-        const struct cm_settings *common = &slots.settings.common;
-        CmLog_Init(common->log_format, common->log_level, common->name);
-        code = run(&slots);
-    }
-    else {
-        char *report = CmFindings_Report(&findings);
-        fputs(report, stderr);
-        g_free(report);
-    }
-    CmYaml_Finish(&slots.settings.common.yaml);
-    CmFindings_Finish(&findings);
-    g_free(text);
-    return code;
+    return CmSettings_ReadSlots(settings, text, size, findings);
 }
 
 int
@@ -162,7 +135,9 @@
 {
     static const struct option options[] = {
         {"settings", required_argument, NULL, 's'}, {0}};
-    const char *path = g_getenv(SETTINGS_VARIABLE);
+    static const struct cm_program program = {"coriandermoor-agent",
+                                              read_settings, run};
+    const char *path = CmProgram_DefaultSettings();
     int code;
     while ((code = getopt_long(argc, argv, "s:", options, NULL)) != -1) {
         if (code != 's') {
@@ -172,6 +147,6 @@
         }
         path = optarg;
     }
-    signal(SIGPIPE, SIG_IGN);
-    return run_with(path != NULL ? path : SETTINGS_DEFAULT);
+    struct slots slots = {0};
+    return CmProgram_Start(&program, path, &slots.settings, &slots);
 }
--- a/programs/coriandermoor/commands.c
+++ b/programs/coriandermoor/commands.c
@@ -98,10 +98,6 @@
     return Entry_Main(options.settings);
 }
 
-/// Where the platform puts the settings unless the variable says otherwise.
-#define SETTINGS_DEFAULT "/etc/coriandermoor/boot.json"
-#define SETTINGS_VARIABLE "CORIANDERMOOR_BOOT"
-
 int
 Command_Gateway(int argc, char **argv)
 {
@@ -109,11 +105,7 @@
     if (!parse_options(argc, argv, &options) || options.help) {
         return usage(options.help, "gateway [--settings FILE]");
     }
-    const char *path = options.settings;
-    if (path == NULL) {
-        path = g_getenv(SETTINGS_VARIABLE);
-    }
-    return Gateway_Main(path != NULL ? path : SETTINGS_DEFAULT);
+    return Gateway_Main(options.settings);
 }
 
 int
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -13,6 +13,7 @@
 #include "admin.h"
 #include "base/log.h"
 #include "callers.h"
+#include "config/start.h"
 #include "entry.h"
 #include "exchange.h"
 #include "fleet.h"
@@ -239,8 +240,9 @@
 }
 
 static int
-run(struct entry *entry)
+run(void *state)
 {
+    struct entry *entry = state;
     const struct cm_policy_ops *policy = CmPolicy_Find(entry->settings.policy);
     if (policy == NULL) {
         fprintf(stderr, "coriandermoor: unknown policy \"%s\"\n",
@@ -265,34 +267,20 @@
     return code;
 }
 
+static bool
+read_settings(void *settings, const char *text, size_t size,
+              struct cm_findings *findings)
+{
+    return CmSettings_ReadEntry(settings, text, size, findings);
+}
+
 int
 Entry_Main(const char *path)
 {
-    signal(SIGPIPE, SIG_IGN);
-    size_t size;
-    GError *error = NULL;
-    char *text = CmSettings_LoadFile(path, &size, &error);
-    if (text == NULL) {
-        fprintf(stderr, "coriandermoor: %s\n", error->message);
-        g_clear_error(&error);
-        return EXIT_FAILURE;
-    }
+    static const struct cm_program program = {"coriandermoor", read_settings,
+                                              run};
     struct entry entry = {0};
-    struct cm_findings findings;
-    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
-    int code = EXIT_FAILURE;
-    if (CmSettings_ReadEntry(&entry.settings, text, size, &findings)) {
-        const struct cm_settings *common = &entry.settings.common;
-        CmLog_Init(common->log_format, common->log_level, common->name);
-        code = run(&entry);
-    }
-    else {
-        char *report = CmFindings_Report(&findings);
-        fputs(report, stderr);
-        g_free(report);
-    }
-    CmSettings_FinishEntry(&entry.settings);
-    CmFindings_Finish(&findings);
-    g_free(text);
+    int code = CmProgram_Start(&program, path, &entry.settings, &entry);
+    g_free(entry.settings.peers);
     return code;
 }
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 
 #include "base/log.h"
-#include "config/yaml.h"
+#include "config/start.h"
 #include "caller_conns.h"
 #include "feeds.h"
 #include "gateway.h"
@@ -186,8 +186,9 @@
 }
 
 static int
-run(struct gateway *gateway)
+run(void *state)
 {
+    struct gateway *gateway = state;
     gateway_init(gateway);
     GError *error = NULL;
     int code = EXIT_SUCCESS;
@@ -209,34 +210,20 @@
     return code;
 }
 
+static bool
+read_settings(void *settings, const char *text, size_t size,
+              struct cm_findings *findings)
+{
+    return CmSettings_ReadGateway(settings, text, size, findings);
+}
+
 int
 Gateway_Main(const char *path)
 {
-    signal(SIGPIPE, SIG_IGN);
-    size_t size;
-    GError *error = NULL;
-    char *text = CmSettings_LoadFile(path, &size, &error);
-    if (text == NULL) {
-        fprintf(stderr, "coriandermoor: %s\n", error->message);
-        g_clear_error(&error);
-        return EXIT_FAILURE;
-    }
+    static const struct cm_program program = {"coriandermoor", read_settings,
+                                              run};
     struct gateway gateway = {0};
-    struct cm_findings findings;
-    CmFindings_Init(&findings, path, CM_FINDINGS_MAX);
-    int code = EXIT_FAILURE;
-    if (CmSettings_ReadGateway(&gateway.settings, text, size, &findings)) {
-        const struct cm_settings *common = &gateway.settings.common;
-        CmLog_Init(common->log_format, common->log_level, common->name);
-        code = run(&gateway);
-    }
-    else {
-        char *report = CmFindings_Report(&findings);
-        fputs(report, stderr);
-        g_free(report);
-    }
-    CmYaml_Finish(&gateway.settings.common.yaml);
-    CmFindings_Finish(&findings);
-    g_free(text);
-    return code;
+    return CmProgram_Start(&program,
+                           path != NULL ? path : CmProgram_DefaultSettings(),
+                           &gateway.settings, &gateway);
 }
--- /dev/null
+++ b/programs/coriandermoor/gateway/placing.c
@@ -0,0 +1,162 @@
+/// @file placing.c
+/// Finds the target of a request: asks agents for its adapter, best engine
+/// first, or takes the best plain target.
+
+#include "placing.h"
+
+#include <inttypes.h>
+
+#include "base/log.h"
+#include "lease.h"
+#include "request.h"
+
+/// Longest wait for an adapter at one agent: a load from the store under
+/// contention; another engine is quicker after that.
+#define LEASE_WAIT_MS 2000
+/// Added for the agent's answer to arrive.
+#define LEASE_GRACE_MS 100
+/// Prompts ahead at an engine that are accepted without a look at others, and
+/// agents that may say busy before one is taken as it is.
+#define BACKLOG_MAX_MS 150
+#define BUSY_ASKS_MAX 3
+
+static bool
+agent_is_down(const struct request *request,
+              const struct cm_live_target *target)
+{
+    return CmTime_Before(Gateway_Now(request->gateway),
+                         target->agent_down_until);
+}
+
+/// One line for the engine that is asked, with what decided.
+static void
+log_choice(const struct request *request, const struct cm_pick *pick)
+{
+    struct timespec now = Gateway_Now(request->gateway);
+    const struct cm_live_target *target = pick->target;
+    CmLog_Event(
+        G_LOG_LEVEL_INFO, "place", request->asked.id,
+        "asks %s at %s for %s: cost %.0f ms, %s, backlog %.0f ms "
+        "told %" PRId64 " ms ago, %zu candidates",
+        target->id, target->address, request->asked.adapter, pick->cost_ms,
+        pick->holds ? "holds it" : "has to load it",
+        CmTarget_BacklogMs(target, now),
+        target->told.at.tv_sec != 0 ? CmTime_DiffMs(now, target->told.at) : -1,
+        pick->candidates);
+}
+
+/// @return how many prompts may be ahead. An engine that is best although it
+/// said busy is taken as it is, and so is any after a few asks.
+static int64_t
+backlog_max_ms(const struct request *request,
+               const struct cm_live_target *target)
+{
+    if (request->busy_asks >= BUSY_ASKS_MAX || target == request->busy_last) {
+        return INT64_MAX;
+    }
+    return BACKLOG_MAX_MS * (1 + request->busy_asks);
+}
+
+/// Asks for the adapter at the best engine.
+/// @return false if there is no engine left to ask.
+static bool
+place_adapter(struct request *request, const struct cm_pick_request *wanted)
+{
+    struct cm_pick_request next = *wanted;
+    struct cm_pick pick;
+    while (next.n_tried < CM_TRIED_MAX) {
+        CmPick_Engine(&request->gateway->targets, &next,
+                      Gateway_Now(request->gateway), &pick);
+        if (pick.target == NULL) {
+            return false;
+        }
+        if (agent_is_down(request, pick.target)) {
+            if (pick.holds) {
+                Request_SendTo(request, pick.target);
+                return true;
+            }
+        }
+        else {
+            log_choice(request, &pick);
+            int64_t wait_ms = MIN(LEASE_WAIT_MS, Request_LeftMs(request));
+            request->phase = REQUEST_LEASING;
+            if (Lease_Ask(request, pick.target, wait_ms,
+                          backlog_max_ms(request, pick.target))) {
+                Request_SetTimer(request, wait_ms + LEASE_GRACE_MS);
+                return true;
+            }
+        }
+        Request_AddTried(request, pick.target);
+        next.n_tried = request->n_tried;
+    }
+    return false;
+}
+
+void
+Request_Place(struct request *request)
+{
+    struct cm_pick_request wanted = {
+        .service = request->service,
+        .adapter = request->asked.adapter,
+        .tokens = request->asked.tokens,
+        .tried = request->tried,
+        .n_tried = request->n_tried,
+    };
+    if (wanted.adapter != NULL) {
+        if (!place_adapter(request, &wanted)) {
+            Request_GiveUp(request, "no engine can take the adapter");
+        }
+        return;
+    }
+    struct cm_pick pick;
+    struct timespec now = Gateway_Now(request->gateway);
+    if (request->asked.model != NULL) {
+        CmPick_Engine(&request->gateway->targets, &wanted, now, &pick);
+    }
+    else {
+        CmPick_Plain(&request->gateway->targets, &wanted, now, &pick);
+    }
+    if (pick.target == NULL) {
+        Request_GiveUp(request, "no target can take the request");
+        return;
+    }
+    Request_SendTo(request, pick.target);
+}
+
+void
+Request_Leased(struct request *request)
+{
+    struct cm_live_target *target = request->lease.target;
+    if (target->draining || target->gone) {
+        Request_NotLeased(request, "the target is leaving");
+        return;
+    }
+    Request_CountLatency(request, LATENCY_LEASE);
+    Request_SendTo(request, target);
+}
+
+void
+Request_NotLeased(struct request *request, const char *why)
+{
+    struct cm_live_target *target = request->lease.target;
+    if (request->lease.busy) {
+        // Picks again, with what the agent has just told.
+        request->lease.busy = false;
+        request->busy_asks++;
+        request->busy_last = target;
+        Lease_Release(request);
+        Request_Place(request);
+        return;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "lease", request->asked.id,
+                "%s does not give %s: %s", target->id, request->asked.adapter,
+                why);
+    Request_AddTried(request, target);
+    Lease_Release(request);
+    if (Request_LeftMs(request) < CM_RETRY_MIN_LEFT_MS ||
+        request->n_tried >= CM_TRIED_MAX) {
+        Request_GiveUp(request, "no engine has room for the adapter");
+        return;
+    }
+    Request_Place(request);
+}
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -64,7 +64,8 @@
     int sends;
     int busy_asks; ///< agents that said busy since the last send
     struct cm_live_target *busy_last; ///< the last of them, not owned
-    bool keep; ///< the caller's connection stays open after the answer
+    bool unread; ///< the caller has left too much of its stream unread
+    bool keep;   ///< the caller's connection stays open after the answer
 };
 
 #endif
