--- a/packages/explain/src/story.c
+++ b/packages/explain/src/story.c
@@ -221,6 +221,9 @@
 {
     const char *colon = g_strrstr(message, ": ");
     size_t outcome = strcspn(message, " ");
+    if (message[outcome] == '\0') {
+        return g_strdup(message);
+    }
     if (colon == NULL) {
         size_t status = outcome + 1 + strcspn(message + outcome + 1, " ");
         return g_strndup(message, MIN(status, strlen(message)));
--- a/packages/explain/tests/story_test.c
+++ b/packages/explain/tests/story_test.c
@@ -78,13 +78,14 @@
         LINE(2, "g", "answer", "b", "refused 503 after 1 ms: no room")
             LINE(3, "g", "answer", "c", "refused 503 after 9 ms: no room")
                 LINE(4, "h", "answer", "d", "answered 500 after 5 ms, route x")
-                    LINE(5, "h", "lease", "e", "no slot") "torn";
+                    LINE(5, "h", "lease", "e", "no slot")
+                        LINE(6, "h", "answer", "f", "refused") "torn";
     struct cm_story story;
     CmStory_Init(&story);
     CmStory_Add(&story, log, strlen(log));
     GString *out = g_string_new(NULL);
     CmStory_Summarize(&story, out);
-    CU_ASSERT(position(out->str, "4 requests, 1 answered with success, "
+    CU_ASSERT(position(out->str, "5 requests, 1 answered with success, "
                                  "1 lines skipped") == 0);
     CU_ASSERT(position(out->str, "2  refused: no room  (for example b)") > 0);
     CU_ASSERT(position(out->str, "1  answered 500  (for example d)") >
--- /dev/null
+++ b/testing/fuzz/wire_fuzz.c
@@ -0,0 +1,113 @@
+/// @file wire_fuzz.c
+/// Inputs of the users' platform and of our own processes there: the store's
+/// objects, reports of engines, leases, events of streams, logs.
+
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "catalog_codec.h"
+#include "dispatch/events.h"
+#include "engine_codec.h"
+#include "explain/story.h"
+#include "residency/lease_message.h"
+#include "target_codec.h"
+
+/// Fed to CmEvents_Feed() in pieces of this size.
+#define PIECE 7
+
+static void
+on_adapter(void *context, const char *adapter, int64_t version, bool incoming)
+{
+}
+
+static void
+on_listed(void *context, const char *adapter, int64_t version)
+{
+}
+
+static void
+on_run(void *context, const char *request, int64_t tokens, int64_t events)
+{
+}
+
+static void
+decode_json(const json_t *json)
+{
+    GError *error = NULL;
+    struct cm_catalog *catalog = CmCatalogCodec_Decode(json, &error);
+    if (catalog != NULL) {
+        CmCatalog_Route(catalog, "h", "/a/");
+        CmCatalog_Unref(catalog);
+    }
+    g_clear_error(&error);
+    struct cm_target_info info;
+    CmTargetCodec_Decode("i-1", json, &info);
+    CmTargetCodec_Adapters(json, on_listed, NULL);
+    char *adapter;
+    int64_t version;
+    if (CmTargetCodec_Version(json, &adapter, &version)) {
+        g_free(adapter);
+    }
+    static const struct cm_engine_listener listener = {NULL, on_adapter,
+                                                       on_run};
+    struct cm_engine_report report;
+    CmEngineCodec_Report(json, &report, &listener, NULL);
+}
+
+static void
+decode_leases(const char *text, size_t size)
+{
+    struct cm_lease_ask ask = {0};
+    if (CmLeaseAsk_Decode(&ask, text, size)) {
+        CmLeaseAsk_Finish(&ask);
+    }
+    struct cm_lease_reply reply;
+    CmLeaseReply_Decode(&reply, text, size);
+}
+
+static void
+feed_events(const char *text, size_t size)
+{
+    struct cm_events events;
+    CmEvents_Init(&events, -1);
+    GString *out = g_string_new(NULL);
+    for (size_t at = 0; at < size; at += PIECE) {
+        if (!CmEvents_Feed(&events, text + at, MIN(PIECE, size - at), out)) {
+            break;
+        }
+    }
+    g_string_free(out, TRUE);
+    CmEvents_Finish(&events);
+}
+
+static void
+tell(const char *text, size_t size)
+{
+    struct cm_story story;
+    CmStory_Init(&story);
+    CmStory_Add(&story, text, size);
+    GString *out = g_string_new(NULL);
+    CmStory_Tell(&story, "r", out);
+    CmStory_Summarize(&story, out);
+    g_string_free(out, TRUE);
+    CmStory_Finish(&story);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    const char *text = (const char *)data;
+    json_t *json = json_loadb(text, size, JSON_DECODE_ANY, NULL);
+    if (json != NULL) {
+        decode_json(json);
+        json_decref(json);
+    }
+    decode_leases(text, size);
+    feed_events(text, size);
+    tell(text, size);
+    return 0;
+}
