feat(gateway): requests wait for engines that are starting

Change: while engines of the service are starting a request looks again each 100 ms, for 1.5 s at most; an agent that says down takes the mark away.

--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -50,6 +50,9 @@
                                  .backlog_ms = (double)reply.backlog_ms,
                                  .at = now};
     CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
+    if (reply.outcome == CM_LEASE_OUTCOME_DOWN) {
+        lease->target->has_model = false;
+    }
     if (reply.outcome != CM_LEASE_OUTCOME_BUSY) {
         CmTarget_SetHolds(lease->target, request->asked.adapter, held, now);
     }
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -5,6 +5,7 @@
 #include "placing.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 #include "base/log.h"
 #include "lease.h"
@@ -19,6 +20,10 @@
 /// agents that may say busy before one is taken as it is.
 #define BACKLOG_MAX_MS 150
 #define BUSY_ASKS_MAX 3
+/// Longest wait for engines that are starting, and the time between looks:
+/// a model comes from its engine's disk within one or two seconds.
+#define PARK_MAX_MS 1500
+#define PARK_STEP_MS 100
 
 static bool
 agent_is_down(const struct request *request,
@@ -92,6 +97,42 @@
     return false;
 }
 
+/// @return whether an engine of the service is there but has no model yet.
+static bool
+engines_start(const struct request *request)
+{
+    const struct cm_live_target *target;
+    CmList_FOREACH (target, &request->gateway->targets.list, link) {
+        if (!target->draining && !target->has_model &&
+            strcmp(target->service, request->service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// No engine can take the request: waits if some are starting, as their model
+/// is there sooner than the caller would come back.
+static void
+park_or_give_up(struct request *request, const char *reason)
+{
+    struct timespec now = Gateway_Now(request->gateway);
+    if (request->sends > 0 || !engines_start(request) ||
+        Request_SinceArrivalMs(request, now) > PARK_MAX_MS ||
+        Request_LeftMs(request) < PARK_STEP_MS) {
+        Request_GiveUp(request, reason);
+        return;
+    }
+    if (request->phase != REQUEST_PARKED) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "place", request->asked.id,
+                    "waits: engines of %s are starting", request->service);
+    }
+    request->phase = REQUEST_PARKED;
+    // Those that were down may be back by then.
+    Request_ForgetTried(request);
+    Request_SetTimer(request, PARK_STEP_MS);
+}
+
 void
 Request_Place(struct request *request)
 {
@@ -104,7 +145,7 @@
     };
     if (wanted.adapter != NULL) {
         if (!place_adapter(request, &wanted)) {
-            Request_GiveUp(request, "no engine can take the adapter");
+            park_or_give_up(request, "no engine can take the adapter");
         }
         return;
     }
@@ -117,7 +158,7 @@
         CmPick_Plain(&request->gateway->targets, &wanted, now, &pick);
     }
     if (pick.target == NULL) {
-        Request_GiveUp(request, "no target can take the request");
+        park_or_give_up(request, "no target can take the request");
         return;
     }
     Request_SendTo(request, pick.target);
@@ -155,7 +196,7 @@
     Lease_Release(request);
     if (Request_LeftMs(request) < CM_RETRY_MIN_LEFT_MS ||
         request->n_tried >= CM_TRIED_MAX) {
-        Request_GiveUp(request, "no engine has room for the adapter");
+        park_or_give_up(request, "no engine has room for the adapter");
         return;
     }
     Request_Place(request);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -45,9 +45,7 @@
     CmEvents_Finish(&request->events);
     CmCallCodec_FinishRequest(&request->asked);
     CmCatalog_Unref(request->catalog);
-    for (size_t i = 0; i < request->n_tried; i++) {
-        CmTarget_Unref(request->tried[i]);
-    }
+    Request_ForgetTried(request);
     event_free(request->timer);
     request->gateway->n_requests--;
     g_free(request);
@@ -90,6 +88,15 @@
     }
 }
 
+void
+Request_ForgetTried(struct request *request)
+{
+    for (size_t i = 0; i < request->n_tried; i++) {
+        CmTarget_Unref(request->tried[i]);
+    }
+    request->n_tried = 0;
+}
+
 /// @return for how long a target may be silent, or -1 for "until the
 /// deadline".
 static int64_t
@@ -345,6 +352,9 @@
     else if (Request_LeftMs(request) <= 0) {
         on_deadline(request);
     }
+    else if (request->phase == REQUEST_PARKED) {
+        Request_Place(request);
+    }
     else if (request->phase == REQUEST_LEASING) {
         request->lease.target->agent_down_until =
             CmTime_AddMs(Gateway_Now(request->gateway), AGENT_DOWN_MS);
--- a/programs/coriandermoor/gateway/request.h
+++ b/programs/coriandermoor/gateway/request.h
@@ -35,6 +35,10 @@
 void
 Request_AddTried(struct request *request, struct cm_live_target *target);
 
+/// Lets all targets be tried again.
+void
+Request_ForgetTried(struct request *request);
+
 /// Wakes the request after `ms`.
 void
 Request_SetTimer(struct request *request, int64_t ms);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -14,6 +14,7 @@
 
 /// What the request waits for.
 enum request_phase {
+    REQUEST_PARKED,   ///< engines that are starting
     REQUEST_LEASING,  ///< an agent's answer
     REQUEST_SENT,     ///< a target's response
     REQUEST_STREAMING ///< the rest of a stream
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -274,6 +274,7 @@
 
     MODEL = "m"
     load_s = 0.05
+    model_load_s = 0.05
     gap_s = 0.01
 
     def __init__(self, store, host, port, service, zone, adapter_slots):
@@ -349,7 +350,7 @@
         adapter = order.get("adapter")
         if order["operation"] == "load" and adapter is None:
             self.orders += 1
-            self.models = [self.MODEL]
+            asyncio.ensure_future(self.load_model())
             return Answer(202)
         if order["operation"] == "load":
             if adapter not in self.adapters and len(self.adapters) + len(
@@ -366,6 +367,12 @@
         self.orders += 1
         return Answer(200)
 
+    async def load_model(self):
+        incarnation = self.id
+        await asyncio.sleep(self.model_load_s)
+        if incarnation == self.id:
+            self.models = [self.MODEL]
+
     async def load(self, adapter, version):
         incarnation = self.id
         await asyncio.sleep(self.load_s)
