fix(slots,gateway): one slot is kept free only while a late load could act

Change: requests wait only while most engines of the service are starting; a late load is remembered with the count of orders at which it acts, and one slot stays free only there; replies tell a missing model apart.

--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -40,8 +40,9 @@
 /// An agent answers.
 struct cm_lease_reply {
     enum cm_lease_outcome outcome;
-    int64_t version;          ///< of the adapter held
-    int64_t free_slots;       ///< that no run needs
+    int64_t version;     ///< of the adapter held
+    int64_t lacks_model; ///< 1 if the engine answers, but has no base model
+    int64_t free_slots;  ///< that no run needs
     int64_t waiting_adapters; ///< that wait for a slot
     int64_t backlog_ms;       ///< time that prompts ahead take to be read
     int64_t gateways;         ///< that have asked lately
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -84,6 +84,7 @@
     size_t offset;
 } reply_numbers[] = {
     {"version", offsetof(struct cm_lease_reply, version)},
+    {"lacks_model", offsetof(struct cm_lease_reply, lacks_model)},
     {"free_slots", offsetof(struct cm_lease_reply, free_slots)},
     {"waiting_adapters", offsetof(struct cm_lease_reply, waiting_adapters)},
     {"backlog_ms", offsetof(struct cm_lease_reply, backlog_ms)},
--- a/packages/residency/tests/residency_test.c
+++ b/packages/residency/tests/residency_test.c
@@ -392,13 +392,15 @@
     CU_ASSERT_EQUAL(read.wait_ms, 300);
     CmLeaseAsk_Finish(&read);
     free(text);
-    struct cm_lease_reply reply = {CM_LEASE_OUTCOME_LATE, 1, 2, 3, 4, 5, 6, 7};
+    struct cm_lease_reply reply = {
+        CM_LEASE_OUTCOME_LATE, 1, 0, 2, 3, 4, 5, 6, 7};
     text = CmLeaseReply_Encode(&reply);
     struct cm_lease_reply answer = {0};
     CU_ASSERT_FATAL(CmLeaseReply_Decode(&answer, text, strlen(text)));
     // Member by member: the bytes between them are not defined.
     CU_ASSERT_EQUAL(answer.outcome, reply.outcome);
     CU_ASSERT_EQUAL(answer.version, reply.version);
+    CU_ASSERT_EQUAL(answer.lacks_model, reply.lacks_model);
     CU_ASSERT_EQUAL(answer.free_slots, reply.free_slots);
     CU_ASSERT_EQUAL(answer.waiting_adapters, reply.waiting_adapters);
     CU_ASSERT_EQUAL(answer.backlog_ms, reply.backlog_ms);
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -206,18 +206,33 @@
 /// of orders keeps it from acting beside newer ones; a next one under the same
 /// id counts anew.
 static void
-note_unanswered(struct slots *slots, enum engine_call what)
+note_late_load(struct slots *slots, enum engine_call what)
 {
     struct engine *engine = &slots->engine;
-    if (what != ENGINE_ORDER || !engine->order.load) {
-        return;
+    if (what == ENGINE_ORDER && engine->order.load) {
+        engine->late_loads[engine->n_late_loads++ % LATE_LOADS_MAX] =
+            (struct late_load){engine->report.orders, Slots_Now(slots)};
     }
+}
+
+/// @return whether a load of the former incarnation could act at the present
+/// number of orders, or after one more.
+static bool
+late_load_is_due(const struct slots *slots)
+{
+    const struct engine *engine = &slots->engine;
     struct timespec now = Slots_Now(slots);
-    if (!CmTime_Before(now, engine->unanswered_until)) {
-        engine->unanswered = 0;
+    size_t n = MIN(engine->n_late_loads, LATE_LOADS_MAX);
+    for (size_t i = 0; i < n; i++) {
+        const struct late_load *late = &engine->late_loads[i];
+        int64_t ahead = late->expect - engine->report.orders;
+        if ((ahead == 0 || ahead == 1) &&
+            CmTime_Before(late->noted, engine->restarted) &&
+            CmTime_DiffMs(now, late->noted) < UNANSWERED_MS) {
+            return true;
+        }
     }
-    engine->unanswered++;
-    engine->unanswered_until = CmTime_AddMs(now, UNANSWERED_MS);
+    return false;
 }
 
 static void
@@ -231,7 +246,7 @@
     if (end != CM_H1_CALL_WHOLE) {
         // An order may have been accepted all the same: the next report
         // tells, and the number it expects keeps it from acting later.
-        note_unanswered(slots, ended);
+        note_late_load(slots, ended);
         engine->stale = true;
         engine_failed(slots, "no connection");
         return;
@@ -366,6 +381,8 @@
         return;
     }
     g_clear_pointer(&engine->order.adapter, g_free);
+    slots->residency.slots =
+        slots->engine_slots - (late_load_is_due(slots) ? 1 : 0);
     if (may_order && engine->has_model &&
         CmResidency_NextOrder(&slots->residency, Slots_Now(slots),
                               &engine->order)) {
@@ -390,7 +407,7 @@
     struct engine *engine = &slots->engine;
     if (engine->under_way != ENGINE_IDLE) {
         CmH1Call_Cancel(&engine->call);
-        note_unanswered(slots, engine->under_way);
+        note_late_load(slots, engine->under_way);
         engine->under_way = ENGINE_IDLE;
         engine->stale = true;
         engine_failed(slots, "no answer in time");
@@ -444,16 +461,6 @@
     return strcmp(engine->target, target) == 0;
 }
 
-int64_t
-Engine_UsableSlots(const struct slots *slots, int64_t all)
-{
-    const struct engine *engine = &slots->engine;
-    bool at_risk = CmTime_Before(Slots_Now(slots), engine->unanswered_until) &&
-                   CmTime_DiffMs(engine->unanswered_until, engine->restarted) <
-                       UNANSWERED_MS;
-    return at_risk ? MAX(all - engine->unanswered, 1) : all;
-}
-
 bool
 Engine_Serves(const struct slots *slots)
 {
--- a/programs/coriandermoor-agent/slots/engine.h
+++ b/programs/coriandermoor-agent/slots/engine.h
@@ -23,11 +23,6 @@
 bool
 Engine_Want(struct slots *slots, const char *target, const char *model);
 
-/// @return slots that may be filled: fewer after a restart while loads that
-/// the former incarnation did not answer could still be carried out.
-int64_t
-Engine_UsableSlots(const struct slots *slots, int64_t all);
-
 /// @return whether the engine answers and holds its base model.
 bool
 Engine_Serves(const struct slots *slots);
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -116,6 +116,7 @@
     struct cm_lease_reply answer = {
         .outcome = outcome,
         .version = version,
+        .lacks_model = slots->engine.known && !slots->engine.has_model,
         .free_slots = CmResidency_FreeSlots(&slots->residency),
         .waiting_adapters = CmResidency_WaitingAdapters(&slots->residency),
         .backlog_ms = (int64_t)backlog_ms(slots),
@@ -258,7 +259,7 @@
         reply(session, CM_LEASE_OUTCOME_BUSY, 0);
     }
     else {
-        slots->residency.slots = Engine_UsableSlots(slots, ask.slots);
+        slots->engine_slots = ask.slots;
         later = ask_lease(session, &ask);
     }
     CmLeaseAsk_Finish(&ask);
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -34,6 +34,15 @@
     int64_t events;
 };
 
+/// Loads without an answer that are remembered.
+#define LATE_LOADS_MAX 16
+
+/// A load that got no answer and may be carried out later.
+struct late_load {
+    int64_t expect; ///< number of orders at which it acts
+    struct timespec noted;
+};
+
 /// The engine as this agent sees it.
 struct engine {
     struct cm_h1_call call;
@@ -46,10 +55,10 @@
     GHashTable *runs; ///< request id to struct engine_run
     bool known;       ///< a report has been had, and the last one succeeded
     bool has_model;
-    bool stale;         ///< an order was given since the last report
-    int failures;       ///< in a row
-    int64_t unanswered; ///< loads that may still be carried out
-    struct timespec unanswered_until;
+    bool stale;   ///< an order was given since the last report
+    int failures; ///< in a row
+    struct late_load late_loads[LATE_LOADS_MAX]; ///< the oldest is replaced
+    size_t n_late_loads;                         ///< ever noted
     struct timespec restarted; ///< when another incarnation was noticed
     int64_t fence;
     char *model;    ///< that gateways want loaded, or NULL
@@ -64,6 +73,7 @@
     struct cm_clock *clock;
     struct cm_h1_pool pool;
     struct cm_residency residency;
+    int64_t engine_slots; ///< that the engine has, as gateways tell
     struct engine engine;
     struct cm_h1_listener gateways_listener;
     struct cm_h1_listener admin_listener;
--- a/programs/coriandermoor-agent/slots/slots_main.c
+++ b/programs/coriandermoor-agent/slots/slots_main.c
@@ -76,6 +76,7 @@
     LIST_INIT(&slots->sessions);
     init_counters(slots);
     CmH1Pool_Init(&slots->pool, slots->base, slots->clock);
+    slots->engine_slots = SLOTS_UNKNOWN;
     CmResidency_Init(&slots->residency, SLOTS_UNKNOWN);
     slots->term = add_signal(slots, SIGTERM, on_stop_signal);
     slots->interrupt = add_signal(slots, SIGINT, on_stop_signal);
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -50,7 +50,7 @@
                                  .backlog_ms = (double)reply.backlog_ms,
                                  .at = now};
     CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
-    if (reply.outcome == CM_LEASE_OUTCOME_DOWN) {
+    if (reply.outcome == CM_LEASE_OUTCOME_DOWN && reply.lacks_model == 1) {
         lease->target->has_model = false;
     }
     if (reply.outcome != CM_LEASE_OUTCOME_BUSY) {
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -97,18 +97,22 @@
     return false;
 }
 
-/// @return whether an engine of the service is there but has no model yet.
+/// @return whether most engines of the service are there without their model:
+/// a few that are starting relieve nobody.
 static bool
 engines_start(const struct request *request)
 {
+    size_t starting = 0;
+    size_t usable = 0;
     const struct cm_live_target *target;
     CmList_FOREACH (target, &request->gateway->targets.list, link) {
-        if (!target->draining && !target->has_model &&
+        if (!target->draining &&
             strcmp(target->service, request->service) == 0) {
-            return true;
+            starting += !target->has_model;
+            usable += target->has_model;
         }
     }
-    return false;
+    return starting > usable;
 }
 
 /// No engine can take the request: waits if some are starting, as their model
