refactor(platform): all names of the wire in one folder; unused code out

Change: the store's feeds take a kind, engine calls are composed in engine_codec; unused code is gone. A slip on the way (the buffer of an engine's answers was not emptied) was caught by e2e-platform, 8 cases. Measured: 16 e2e cases and all package tests pass, lint clean.

--- a/packages/dispatch/include/dispatch/pick.h
+++ b/packages/dispatch/include/dispatch/pick.h
@@ -13,7 +13,6 @@
 struct cm_pick_request {
     const char *service;
     const char *adapter; ///< key, NULL if the request needs none
-    int64_t tokens;      ///< of the prompt
     struct cm_live_target *const *tried;
     size_t n_tried;
 };
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -77,7 +77,6 @@
     int failures; ///< in a row
     struct timespec ejected_until;
     struct timespec agent_down_until;
-    struct timespec returned;
 };
 
 LIST_HEAD(cm_target_list, cm_live_target);
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -71,8 +71,7 @@
     for (size_t i = 0; i < n; i++) {
         add_engine(&targets, (int)i, &states[i]);
     }
-    struct cm_pick_request request = {
-        .service = "s", .adapter = adapter, .tokens = 1000};
+    struct cm_pick_request request = {.service = "s", .adapter = adapter};
     struct cm_pick pick;
     CmPick_Engine(&targets, &request, now(), &pick);
     int picked = pick.target != NULL ? pick.target->id[1] - '0' : -1;
--- a/packages/h1/include/h1/conn.h
+++ b/packages/h1/include/h1/conn.h
@@ -25,11 +25,6 @@
                  const char *address, const struct cm_h1_handler *handler,
                  void *context);
 
-/// Changes who hears of the connection.
-void
-CmH1Conn_SetHandler(struct cm_h1_conn *conn,
-                    const struct cm_h1_handler *handler, void *context);
-
 /// Closes the connection; what was not written yet is dropped.
 void
 CmH1Conn_Finish(struct cm_h1_conn *conn);
--- a/packages/h1/include/h1/pool.h
+++ b/packages/h1/include/h1/pool.h
@@ -52,8 +52,6 @@
     struct cm_h1_pooled *pooled; ///< NULL while idle
     const struct cm_h1_call_handler *handler;
     void *context;
-    bool reused;    ///< sent on a connection that had served before
-    bool responded; ///< a head of its own has arrived
 };
 
 /// What to send.
@@ -73,10 +71,6 @@
 void
 CmH1Pool_Finish(struct cm_h1_pool *pool);
 
-/// Closes the idle connections to `address`.
-void
-CmH1Pool_Forget(struct cm_h1_pool *pool, const char *address);
-
 /// Starts a call. `end` is never called from inside this function.
 /// @return false if no connection could be tried; no callback follows then.
 bool
@@ -92,8 +86,4 @@
 bool
 CmH1Call_Active(const struct cm_h1_call *call);
 
-/// @return whether the request may have reached the other end.
-bool
-CmH1Call_Sent(const struct cm_h1_call *call);
-
 #endif
--- a/packages/h1/src/conn.c
+++ b/packages/h1/src/conn.c
@@ -428,14 +428,6 @@
     return true;
 }
 
-void
-CmH1Conn_SetHandler(struct cm_h1_conn *conn,
-                    const struct cm_h1_handler *handler, void *context)
-{
-    conn->handler = handler;
-    conn->context = context;
-}
-
 static void
 finish(struct cm_h1_conn *conn, bool linger)
 {
--- a/packages/h1/src/pool.c
+++ b/packages/h1/src/pool.c
@@ -106,10 +106,6 @@
     }
     pooled->keep_ms = announced_keep_ms(head);
     pooled->mine = call->handler->head(call->context, head);
-    // The call may have been cancelled by its handler.
-    if (pooled->conn.io != NULL && pooled->mine) {
-        call->responded = true;
-    }
 }
 
 static void
@@ -209,23 +205,6 @@
     return peer;
 }
 
-void
-CmH1Pool_Forget(struct cm_h1_pool *pool, const char *address)
-{
-    struct cm_h1_peer *peer = g_hash_table_lookup(pool->peers, address);
-    if (peer == NULL) {
-        return;
-    }
-    struct cm_h1_pooled *pooled;
-    struct cm_h1_pooled *next;
-    CmList_FOREACH_SAFE (pooled, &peer->idle, link, next) {
-        pooled_free(pooled);
-    }
-    if (LIST_EMPTY(&peer->busy)) {
-        g_hash_table_remove(pool->peers, address);
-    }
-}
-
 /// @return an idle connection that may be used again, or NULL; those that
 /// may not are closed.
 static struct cm_h1_pooled *
@@ -271,8 +250,7 @@
 {
     struct cm_h1_peer *peer = find_peer(pool, request->address);
     struct cm_h1_pooled *pooled = take_idle(peer, request->idle_max_ms);
-    *call = (struct cm_h1_call){
-        .handler = call_handler, .context = context, .reused = pooled != NULL};
+    *call = (struct cm_h1_call){.handler = call_handler, .context = context};
     if (pooled != NULL) {
         LIST_REMOVE(pooled, link);
         LIST_INSERT_HEAD(&peer->busy, pooled, link);
@@ -310,9 +288,3 @@
 {
     return call->pooled != NULL;
 }
-
-bool
-CmH1Call_Sent(const struct cm_h1_call *call)
-{
-    return call->pooled != NULL && call->pooled->established;
-}
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -9,8 +9,6 @@
 
 #include "base/log.h"
 #include "gateways.h"
-#include "h1/writer.h"
-#include "names.h"
 
 /// Pause between reports while adapters are on their way, while requests run,
 /// and otherwise.
@@ -54,9 +52,8 @@
 {
     struct slots *slots = context;
     slots->engine.status = head->status;
-    const char *answering = CmH1Head_Find(head, CM_WIRE_TARGET_ID);
-    if (answering != NULL &&
-        CmEngineCodec_OrderVerdict(head->status) == CM_VERDICT_OTHER) {
+    const char *answering = CmEngineCodec_OtherTarget(head);
+    if (answering != NULL) {
         replace_text(&slots->engine.target, answering);
         slots->engine.confirmed = true;
     }
@@ -295,9 +292,7 @@
 ask_report(struct slots *slots)
 {
     GString *message = g_string_new(NULL);
-    CmH1Writer_Request(message, "GET", CM_WIRE_REPORT_PATH);
-    CmH1Writer_Header(message, "Host", slots->settings.engine);
-    g_string_append(message, "\r\n");
+    CmEngineCodec_ComposeReport(message, slots->settings.engine);
     slots->reports.value++;
     start_call(slots, ENGINE_REPORT, message);
 }
@@ -306,14 +301,9 @@
 give_order(struct slots *slots, enum engine_call what,
            const struct cm_engine_order *order)
 {
-    char *body = CmEngineCodec_Order(order);
     GString *message = g_string_new(NULL);
-    CmH1Writer_Request(message, "POST", CM_WIRE_ORDER_PATH);
-    CmH1Writer_Header(message, "Host", slots->settings.engine);
-    CmH1Writer_Header(message, "Content-Type", "application/json");
-    CmH1Writer_Header(message, CM_WIRE_EXPECT_TARGET, slots->engine.target);
-    CmH1Writer_Body(message, body, strlen(body));
-    free(body);
+    CmEngineCodec_ComposeOrder(message, slots->settings.engine,
+                               slots->engine.target, order);
     slots->orders.value++;
     start_call(slots, what, message);
 }
--- a/programs/coriandermoor/gateway/feeds.c
+++ b/programs/coriandermoor/gateway/feeds.c
@@ -7,7 +7,6 @@
 
 #include "base/log.h"
 #include "catalog_codec.h"
-#include "names.h"
 #include "target_codec.h"
 
 /// Pause between two watches of the configuration: a storm of changes still
@@ -195,11 +194,11 @@
     struct cm_store *store = &gateway->store;
     gateway->removal = evtimer_new(gateway->base, on_removal, gateway);
     CmStore_Init(store, &gateway->pool, gateway->settings.store);
-    CmStoreFeed_Init(&gateway->catalog_feed, store, CM_WIRE_KIND_CONFIG, rare,
-                     &catalogs, gateway);
-    CmStoreFeed_Init(&gateway->target_feed, store, CM_WIRE_KIND_TARGETS,
-                     target, &targets, gateway);
-    CmStoreFeed_Init(&gateway->version_feed, store, CM_WIRE_KIND_VERSIONS,
+    CmStoreFeed_Init(&gateway->catalog_feed, store, CM_STORE_CONFIGURATION,
+                     rare, &catalogs, gateway);
+    CmStoreFeed_Init(&gateway->target_feed, store, CM_STORE_TARGETS, target,
+                     &targets, gateway);
+    CmStoreFeed_Init(&gateway->version_feed, store, CM_STORE_ADAPTER_VERSIONS,
                      version, &versions, gateway);
 }
 
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -143,7 +143,6 @@
     struct cm_pick_request wanted = {
         .service = request->service,
         .adapter = request->asked.adapter,
-        .tokens = request->asked.tokens,
         .tried = request->tried,
         .n_tried = request->n_tried,
     };
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -3,8 +3,6 @@
 
 #include "target_call.h"
 
-#include "names.h"
-
 /// Longest response that is held back until it is whole.
 #define BODY_MAX ((gsize)8 * 1024 * 1024)
 /// Requests that must not run twice go out on connections that were idle for
