fix(residency): a newer version in transit counts beside the one it replaces

Change: an adapter that is being replaced counts twice, also where the engine reports both; another makes room first, or the older version itself.

--- a/packages/residency/src/residency.c
+++ b/packages/residency/src/residency.c
@@ -269,6 +269,14 @@
     if (resident == NULL) {
         resident = add(residency, adapter, now);
     }
+    else if (resident->reported && incoming) {
+        // A newer version is in transit beside the one that is held.
+        if (!resident->replacing) {
+            resident->replacing = true;
+            resident->replaced = now;
+        }
+        return;
+    }
     resident->reported = true;
     if (resident->incoming && resident->cold && !incoming) {
         adapt_window(residency, CmTime_DiffMs(now, resident->ordered));
@@ -343,7 +351,8 @@
     struct occupancy occupancy = {0};
     const struct cm_resident *resident;
     CmList_FOREACH (resident, &residency->residents, link) {
-        occupancy.held++;
+        // A newer version in transit counts beside the one it replaces.
+        occupancy.held += resident->replacing ? 2 : 1;
         occupancy.incoming += resident->incoming;
         occupancy.cold += resident->incoming && resident->cold;
     }
@@ -440,15 +449,19 @@
     if (lease == NULL) {
         return false;
     }
-    if (find(residency, lease->adapter) != NULL ||
-        occupancy.held < residency->slots) {
+    if (occupancy.held < residency->slots) {
         *order = (struct cm_residency_order){true, g_strdup(lease->adapter),
                                              lease->version};
         return true;
     }
     const struct cm_resident *victim = choose_victim(residency, now);
     if (victim == NULL) {
-        return false;
+        // An older version that nobody uses makes room for its own successor.
+        victim = find(residency, lease->adapter);
+        if (victim == NULL || victim->pins > 0 ||
+            CmTime_Before(now, victim->spared_until)) {
+            return false;
+        }
     }
     *order = (struct cm_residency_order){false, g_strdup(victim->adapter), 0};
     return true;
--- a/packages/residency/tests/residency_test.c
+++ b/packages/residency/tests/residency_test.c
@@ -46,8 +46,12 @@
         g_strlcpy(name, adapters[i], sizeof(name));
         size_t last = strlen(name) - 1;
         bool incoming = name[last] == '+';
-        int64_t version = g_ascii_isdigit(name[last]) ? name[last] - '0' : 1;
-        if (incoming || g_ascii_isdigit(name[last])) {
+        if (incoming) {
+            name[last--] = '\0';
+        }
+        int64_t version = 1;
+        if (g_ascii_isdigit(name[last])) {
+            version = name[last] - '0';
             name[last] = '\0';
         }
         CmResidency_Reported(residency, name, version, incoming, now);
@@ -266,6 +270,61 @@
     }
 }
 
+/// In a full engine another adapter makes room for the newer version first,
+/// and nothing else is loaded beside both.
+static void
+test_replacement_in_full_engine(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, SLOTS);
+    static const char *const full[] = {"a1", "b", "c"};
+    report(&residency, full, 3, at(0));
+    struct cm_lease newer = lease_for("a", 2);
+    CmResidency_Ask(&residency, &newer, at(1));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(1)), "-c");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "+a");
+    struct cm_lease other = lease_for("d", 0);
+    CmResidency_Ask(&residency, &other, at(3));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(3)), "-b");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(4)), "+d");
+    CmResidency_Finish(&residency);
+}
+
+/// The engine reports both versions while the newer one is in transit: both
+/// count, and the older one still serves.
+static void
+test_both_versions_reported(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, SLOTS);
+    static const char *const both[] = {"a1", "b", "a2+"};
+    report(&residency, both, 3, at(0));
+    struct cm_lease older = lease_for("a", 1);
+    CU_ASSERT_EQUAL(CmResidency_Ask(&residency, &older, at(1)),
+                    CM_LEASE_GRANTED);
+    CmResidency_Release(&residency, &older);
+    struct cm_lease other = lease_for("d", 0);
+    CmResidency_Ask(&residency, &other, at(2));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "-b");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(3)), "+d");
+    CmResidency_Finish(&residency);
+}
+
+/// With one slot, the older version makes room itself.
+static void
+test_replacement_in_one_slot(void)
+{
+    struct cm_residency residency;
+    CmResidency_Init(&residency, 1);
+    static const char *const full[] = {"a1"};
+    report(&residency, full, 1, at(0));
+    struct cm_lease newer = lease_for("a", 2);
+    CmResidency_Ask(&residency, &newer, at(1));
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(1)), "-a");
+    CU_ASSERT_STRING_EQUAL(next_order(&residency, at(2)), "+a");
+    CmResidency_Finish(&residency);
+}
+
 /// Leases of urgent requests go before others.
 static void
 test_priority(void)
@@ -425,6 +484,9 @@
     {"window of store loads", test_window},
     {"window adapts", test_window_adapts},
     {"replacement", test_replacement},
+    {"replacement in a full engine", test_replacement_in_full_engine},
+    {"both versions reported", test_both_versions_reported},
+    {"replacement in one slot", test_replacement_in_one_slot},
     {"order of loads", test_order_of_loads},
     {"priority", test_priority},
     {"random run", test_random_run},
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -51,6 +51,7 @@
         self.served_routes = [set() for _ in self.deployment.gateways]
         self.violations = []
         self.faults = 0
+        self.in_trouble = set()  # names of processes
         self.stopping = False
 
     def through_proxies(self):
@@ -158,32 +159,50 @@
 
     # Faults. Each heals by itself; several overlap.
 
+    async def with_process(self, processes, fault):
+        """One fault of start and stop at a time for each process: two would
+        start it twice."""
+        process = self.random.choice(processes)
+        if process.name in self.in_trouble:
+            return
+        self.in_trouble.add(process.name)
+        try:
+            await fault(process)
+        finally:
+            self.in_trouble.discard(process.name)
+
     async def kill(self):
-        process = self.random.choice(self.deployment.gateways
-                                     + self.deployment.agents)
+        await self.with_process(self.deployment.gateways
+                                + self.deployment.agents, self.kill_one)
+
+    async def pause(self):
+        await self.with_process(self.deployment.gateways
+                                + self.deployment.agents, self.pause_one)
+
+    async def planned_stop(self):
+        await self.with_process(self.deployment.gateways, self.stop_one)
+
+    async def kill_one(self, process):
         self.fault(process.name)
         await process.kill()
         await asyncio.sleep(self.random.uniform(0.1, 1.5))
         await process.start()
         self.fault(process.name)
 
-    async def pause(self):
-        process = self.random.choice(self.deployment.gateways
-                                     + self.deployment.agents)
+    async def pause_one(self, process):
         self.fault(process.name)
         process.signal(signal.SIGSTOP)
         await asyncio.sleep(self.random.uniform(0.3, 3))
         process.signal(signal.SIGCONT)
         self.fault(process.name)
 
-    async def planned_stop(self):
-        process = self.random.choice(self.deployment.gateways)
+    async def stop_one(self, process):
         self.fault(process.name)
         process.signal(signal.SIGHUP)
         process.signal(signal.SIGTERM)
         try:
             code = await process.wait(10)
-            if code not in (0, -signal.SIGKILL):
+            if code != 0:
                 self.violated(f"{process.name} ended with {code}")
         except asyncio.TimeoutError:
             if self.calm(process.name, since=time.monotonic() + 0.1):
