fix(dispatch): an answer that promises too much counts as lost

Cause: a target's signed 503, 429 or 408 without its statement that it did not run the request was passed on as it is, also for a request that must not run twice; the caller takes such a status for a refusal. Found by reading. Two more of that kind: the status of an earlier attempt was logged for one that never connected, and a failure held back from an earlier attempt could be passed on without its body if the next connection could not be opened.

--- a/packages/dispatch/include/dispatch/life.h
+++ b/packages/dispatch/include/dispatch/life.h
@@ -34,6 +34,12 @@
     CM_LIFE_CUT,     ///< break the answer off visibly
 };
 
+/// @return how an attempt ended which a target answered with `status`, which
+/// is no success, without stating that it did not run the request: a status
+/// that would tell the caller so must not be passed on.
+enum cm_attempt_end
+CmLife_AnswerEnd(int status);
+
 /// @return what follows `end`. `life` already counts that attempt.
 enum cm_life_step
 CmLife_After(const struct cm_life *life, enum cm_attempt_end end);
--- a/packages/dispatch/src/life.c
+++ b/packages/dispatch/src/life.c
@@ -3,6 +3,25 @@
 
 #include "dispatch/life.h"
 
+#define STATUS_TIMEOUT 408
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY 429
+#define STATUS_UNAVAILABLE 503
+
+enum cm_attempt_end
+CmLife_AnswerEnd(int status)
+{
+    switch (status) {
+    case STATUS_TIMEOUT:
+    case STATUS_MISDIRECTED:
+    case STATUS_TOO_MANY:
+    case STATUS_UNAVAILABLE:
+        return CM_ATTEMPT_LOST;
+    default:
+        return CM_ATTEMPT_FAILED;
+    }
+}
+
 /// @return whether a run that may have happened allows another one.
 static bool
 may_run_again(const struct cm_life *life)
--- a/packages/dispatch/tests/decisions_test.c
+++ b/packages/dispatch/tests/decisions_test.c
@@ -200,6 +200,25 @@
     }
 }
 
+/// Without the target's statement a status that promises "not run" is taken
+/// for a lost answer.
+static void
+test_answer_end(void)
+{
+    static const struct {
+        int status;
+        enum cm_attempt_end end;
+    } cases[] = {
+        {503, CM_ATTEMPT_LOST},   {429, CM_ATTEMPT_LOST},
+        {408, CM_ATTEMPT_LOST},   {421, CM_ATTEMPT_LOST},
+        {500, CM_ATTEMPT_FAILED}, {504, CM_ATTEMPT_FAILED},
+        {404, CM_ATTEMPT_FAILED}, {301, CM_ATTEMPT_FAILED},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(CmLife_AnswerEnd(cases[i].status), cases[i].end);
+    }
+}
+
 /// No state of a request that must not run twice leads to another attempt
 /// once it may have run, and no refusal follows a possible run.
 static void
@@ -303,6 +322,7 @@
     {"splits", test_splits},
     {"budget in every window", test_budget_in_every_window},
     {"what follows an attempt", test_life},
+    {"answers that promise too much", test_answer_end},
     {"what follows an attempt, all states", test_life_exhaustive},
     {"events", test_events},
     {"events, resumed", test_events_resume},
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -148,6 +148,8 @@
     }
     request->phase = REQUEST_SENT;
     if (!TargetCall_Send(request, target)) {
+        // What an earlier attempt brought is no longer there to be passed on.
+        request->last_end = CM_ATTEMPT_UNSENT;
         Request_GiveUp(request, "no connection could be opened");
         return;
     }
@@ -209,7 +211,7 @@
     }
     if (end == CM_H1_CALL_WHOLE && answer->has_stamp && !attempt->broken &&
         answer->status >= STATUS_REDIRECT) {
-        return CM_ATTEMPT_FAILED;
+        return CmLife_AnswerEnd(answer->status);
     }
     return CM_ATTEMPT_LOST;
 }
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -104,6 +104,7 @@
     }
     g_string_truncate(attempt->body, 0);
     attempt->has_head = false;
+    attempt->answer = (struct cm_target_answer){0};
     attempt->broken = false;
     attempt->sent = now;
     struct cm_h1_call_request call = {
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -197,7 +197,8 @@
         self.runs = []  # [id, path, adapter, version, incarnation, time]
         self.running = 0
         self.lose_answer = 0.0  # share of runs whose answer is lost
-        self.fail = 0.0         # share of runs that end with 500
+        self.fail = 0.0         # share of runs that end with fail_status
+        self.fail_status = 500
         self.beat_task = None
 
     async def start(self):
@@ -264,7 +265,8 @@
             self.running -= 1
         if random.random() < self.lose_answer:
             return None
-        status = 500 if random.random() < self.fail else 200
+        failed = random.random() < self.fail
+        status = self.fail_status if failed else 200
         return Answer(status, self.stamp(headers),
                       f"{method} {target} {len(body)}".encode())
 
