feat(residency): agents say busy while no slot is free

Load pattern: far more adapters than slots on 55 engines behind 30 gateways.

Change: the wait beyond which an agent says busy covers the wait for a slot, not only prompts ahead. The reply tells one number, slot_wait_ms, in place of two that pick.c added up; its constants moved to the residency.

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -40,10 +40,9 @@
 
 /// What an agent last told of its engine; adapted to what was sent since.
 struct cm_slots_told {
-    int64_t free_slots;       ///< adapter slots that no run needs
-    int64_t waiting_adapters; ///< that wait for a slot
-    double backlog_ms;        ///< time that prompts ahead take to be read
-    struct timespec at;       ///< 0 for never
+    int64_t slot_wait_ms; ///< until another adapter's load could start
+    double backlog_ms;    ///< time that prompts ahead take to be read
+    struct timespec at;   ///< 0 for never
 };
 
 /// One target.
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -38,10 +38,7 @@
 /// be asked for it again.
 #define HOMES 2
 static const double home_load_ms[HOMES] = {300.0, 450.0};
-/// Expected wait for one of an engine's slots to become free.
-#define SLOT_WAIT_MS 200.0
-/// Expected wait for each load that is due before.
-#define LOAD_WAIT_MS 150.0
+
 /// Age after which what an engine told of its slots is worth nothing.
 #define SLOTS_AGE_MS 800
 
@@ -117,9 +114,7 @@
     if (target->told.at.tv_sec == 0 || age > SLOTS_AGE_MS) {
         return 0;
     }
-    double wait = (target->told.free_slots > 0 ? 0 : SLOT_WAIT_MS) +
-                  LOAD_WAIT_MS * (double)target->told.waiting_adapters;
-    return wait * (1.0 - age / SLOTS_AGE_MS);
+    return (double)target->told.slot_wait_ms * (1.0 - age / SLOTS_AGE_MS);
 }
 
 static bool
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -13,11 +13,10 @@
 
 /// What one engine looks like to the entry.
 struct engine_state {
-    bool held;      ///< the adapter is in a slot
-    bool warm;      ///< it has lately been in one
-    int in_flight;  ///< requests of this entry
-    int free_slots; ///< -1 if never told
-    int slot_waits; ///< adapters that wait there
+    bool held;        ///< the adapter is in a slot
+    bool warm;        ///< it has lately been in one
+    int in_flight;    ///< requests of this entry
+    int slot_wait_ms; ///< until a load could start there
     bool draining;
     bool no_model;
     bool ejected;
@@ -51,11 +50,8 @@
         CmTarget_SetHolds(target, "m/x", state->held, now());
     }
     target->in_flight = state->in_flight;
-    if (state->free_slots >= 0) {
-        target->told.free_slots = state->free_slots;
-        target->told.waiting_adapters = state->slot_waits;
-        target->told.at = now();
-    }
+    target->told.slot_wait_ms = state->slot_wait_ms;
+    target->told.at = now();
     if (state->ejected) {
         target->ejected_until = CmTime_AddMs(now(), 1000);
     }
@@ -90,17 +86,16 @@
         {"where the adapter is", {{.held = true}, {0}}, 0},
         {"where it lately was", {{0}, {.warm = true}}, 1},
         {"a busy holder before a load from the store",
-         {{.held = true, .in_flight = 5}, {.free_slots = 5}},
+         {{.held = true, .in_flight = 5}, {0}},
          0},
         {"a very busy holder is relieved",
-         {{.held = true, .in_flight = 30}, {.free_slots = 5}},
+         {{.held = true, .in_flight = 30}, {0}},
          1},
         {"a copy that waits for a slot before a load from the store",
-         {{.warm = true, .free_slots = 0}, {.free_slots = 5}},
+         {{.warm = true, .slot_wait_ms = 200}, {0}},
          0},
         {"a copy behind a queue of loads is passed over",
-         {{.warm = true, .free_slots = 0, .slot_waits = 4},
-          {.warm = true, .in_flight = 3, .free_slots = 5}},
+         {{.warm = true, .slot_wait_ms = 800}, {.warm = true, .in_flight = 3}},
          1},
         {"a leaving engine gets nothing",
          {{.held = true, .draining = true}, {0}},
--- a/packages/residency/include/residency/lease_message.h
+++ b/packages/residency/include/residency/lease_message.h
@@ -24,29 +24,28 @@
     int64_t priority; ///< 0 is the most urgent
     int64_t tokens;   ///< of the prompt
     int64_t slots;    ///< adapters the engine may hold
-    int64_t backlog_max_ms; ///< prompts ahead beyond which it says busy
-    int64_t wait_ms;        ///< for how long the gateway waits
-    int64_t on_time_ms; ///< an answer is on time if granted within this time
+    int64_t ahead_max_ms; ///< wait beyond which it says busy
+    int64_t wait_ms;      ///< for how long the gateway waits
+    int64_t on_time_ms;   ///< an answer is on time if granted within this time
 };
 
 enum cm_lease_outcome {
     CM_LEASE_OUTCOME_HELD,   ///< the adapter is in its slot
     CM_LEASE_OUTCOME_PINNED, ///< all slots are in use
     CM_LEASE_OUTCOME_LATE,   ///< not within the wait
-    CM_LEASE_OUTCOME_BUSY,   ///< more prompts are ahead than allowed
+    CM_LEASE_OUTCOME_BUSY,   ///< more is ahead than allowed
     CM_LEASE_OUTCOME_DOWN,   ///< the engine does not answer, or has no model
 };
 
 /// An agent answers.
 struct cm_lease_reply {
     enum cm_lease_outcome outcome;
-    int64_t version;     ///< of the adapter held
-    int64_t lacks_model; ///< 1 if the engine answers, but has no base model
-    int64_t free_slots;  ///< that no run needs
-    int64_t waiting_adapters; ///< that wait for a slot
-    int64_t backlog_ms;       ///< time that prompts ahead take to be read
-    int64_t gateways;         ///< that have asked lately
-    int64_t running;          ///< requests at the engine
+    int64_t version;      ///< of the adapter held
+    int64_t lacks_model;  ///< 1 if the engine answers, but has no base model
+    int64_t slot_wait_ms; ///< until another adapter's load could start
+    int64_t backlog_ms;   ///< time that prompts ahead take to be read
+    int64_t gateways;     ///< that have asked lately
+    int64_t running;      ///< requests at the engine
     int64_t waiting;
 };
 
--- a/packages/residency/include/residency/residency.h
+++ b/packages/residency/include/residency/residency.h
@@ -70,8 +70,15 @@
 int64_t
 CmResidency_WaitingAdapters(const struct cm_residency *residency);
 
-/// @return slots that hold nothing a run or a waiting request needs.
+/// @return expected time in ms until the load of an adapter that nobody has
+/// asked for could start.
 int64_t
-CmResidency_FreeSlots(const struct cm_residency *residency);
+CmResidency_SlotWaitMs(const struct cm_residency *residency);
+
+/// @return the same for `adapter`: 0 if it is there, on its way or its load
+/// is due anyway.
+int64_t
+CmResidency_AheadMs(const struct cm_residency *residency, const char *adapter,
+                    int64_t version);
 
 #endif
--- a/packages/residency/include/residency/residency_defs.h
+++ b/packages/residency/include/residency/residency_defs.h
@@ -29,6 +29,10 @@
 #define CM_RESIDENCY_COLD_SLOW 1.5
 /// Adapters that an engine keeps copies of outside its slots.
 #define CM_RESIDENCY_KEPT 30
+/// Expected wait for a slot while all are needed, and for each load that is
+/// due before: a short run's and a load's time.
+#define CM_RESIDENCY_SLOT_WAIT_MS 200
+#define CM_RESIDENCY_TURN_MS 150
 /// Time that a load from the store takes at least.
 #define CM_RESIDENCY_LOAD_MS 250
 /// Time after which a replacement that has not shown is ordered again.
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -18,7 +18,7 @@
     {"priority", offsetof(struct cm_lease_ask, priority)},
     {"tokens", offsetof(struct cm_lease_ask, tokens)},
     {"slots", offsetof(struct cm_lease_ask, slots)},
-    {"backlog_max_ms", offsetof(struct cm_lease_ask, backlog_max_ms)},
+    {"ahead_max_ms", offsetof(struct cm_lease_ask, ahead_max_ms)},
     {"wait_ms", offsetof(struct cm_lease_ask, wait_ms)},
     {"on_time_ms", offsetof(struct cm_lease_ask, on_time_ms)},
 };
@@ -85,8 +85,7 @@
 } reply_numbers[] = {
     {"version", offsetof(struct cm_lease_reply, version)},
     {"lacks_model", offsetof(struct cm_lease_reply, lacks_model)},
-    {"free_slots", offsetof(struct cm_lease_reply, free_slots)},
-    {"waiting_adapters", offsetof(struct cm_lease_reply, waiting_adapters)},
+    {"slot_wait_ms", offsetof(struct cm_lease_reply, slot_wait_ms)},
     {"backlog_ms", offsetof(struct cm_lease_reply, backlog_ms)},
     {"gateways", offsetof(struct cm_lease_reply, gateways)},
     {"running", offsetof(struct cm_lease_reply, running)},
--- a/packages/residency/src/residency.c
+++ b/packages/residency/src/residency.c
@@ -516,9 +516,26 @@
 }
 
 int64_t
-CmResidency_FreeSlots(const struct cm_residency *residency)
+CmResidency_SlotWaitMs(const struct cm_residency *residency)
 {
-    return MAX(residency->slots - needed_slots(residency), 0);
+    int64_t wait_ms =
+        CM_RESIDENCY_TURN_MS * CmResidency_WaitingAdapters(residency);
+    if (needed_slots(residency) >= residency->slots) {
+        wait_ms += CM_RESIDENCY_SLOT_WAIT_MS;
+    }
+    return wait_ms;
+}
+
+int64_t
+CmResidency_AheadMs(const struct cm_residency *residency, const char *adapter,
+                    int64_t version)
+{
+    const struct cm_resident *resident = find(residency, adapter);
+    if ((resident != NULL && resident->version >= version) ||
+        is_wanted(residency, adapter)) {
+        return 0;
+    }
+    return CmResidency_SlotWaitMs(residency);
 }
 
 int64_t
--- a/packages/residency/tests/residency_test.c
+++ b/packages/residency/tests/residency_test.c
@@ -98,6 +98,56 @@
     CmResidency_Finish(&residency);
 }
 
+/// Engines told apart by what is ahead: nothing for an adapter that is there
+/// or due anyway, a slot's wait where all are pinned, a turn for each load.
+static void
+test_ahead(void)
+{
+    static const struct {
+        const char *pattern;
+        int pins;  ///< of the slots that hold "a", "b", "c"
+        int waits; ///< other adapters that wait
+        const char *adapter;
+        int64_t ahead_ms;
+    } cases[] = {
+        {"held", 3, 0, "a", 0},
+        {"held, while others wait", 3, 2, "b", 0},
+        {"waited for already", 3, 1, "w0", 0},
+        {"a slot that nobody needs", 2, 0, "x", 0},
+        {"all slots pinned", 3, 0, "x", CM_RESIDENCY_SLOT_WAIT_MS},
+        {"a wait takes the last slot", 2, 1, "x",
+         CM_RESIDENCY_SLOT_WAIT_MS + CM_RESIDENCY_TURN_MS},
+        {"a queue", 3, 2, "x",
+         CM_RESIDENCY_SLOT_WAIT_MS + 2 * CM_RESIDENCY_TURN_MS},
+    };
+    static const char *const names[] = {"a", "b", "c"};
+    static const char *const others[] = {"w0", "w1"};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_residency residency;
+        CmResidency_Init(&residency, SLOTS);
+        report(&residency, names, SLOTS, at(0));
+        struct cm_lease leases[SLOTS + G_N_ELEMENTS(others)];
+        size_t n = 0;
+        for (int p = 0; p < cases[i].pins; p++) {
+            leases[n] = lease_for(names[p], 0);
+            CmResidency_Ask(&residency, &leases[n++], at(0));
+        }
+        for (int w = 0; w < cases[i].waits; w++) {
+            leases[n] = lease_for(others[w], 0);
+            CmResidency_Ask(&residency, &leases[n++], at(0));
+        }
+        int64_t ahead = CmResidency_AheadMs(&residency, cases[i].adapter, 0);
+        if (ahead != cases[i].ahead_ms) {
+            printf("\n%s: %d\n", cases[i].pattern, (int)ahead);
+        }
+        CU_ASSERT_EQUAL(ahead, cases[i].ahead_ms);
+        while (n > 0) {
+            CmResidency_Release(&residency, &leases[--n]);
+        }
+        CmResidency_Finish(&residency);
+    }
+}
+
 /// The adapter with the fewest recent uses makes room; a pinned one or one
 /// that is waited for never does.
 static void
@@ -451,8 +501,7 @@
     CU_ASSERT_EQUAL(read.wait_ms, 300);
     CmLeaseAsk_Finish(&read);
     free(text);
-    struct cm_lease_reply reply = {
-        CM_LEASE_OUTCOME_LATE, 1, 0, 2, 3, 4, 5, 6, 7};
+    struct cm_lease_reply reply = {CM_LEASE_OUTCOME_LATE, 1, 0, 2, 3, 4, 5, 6};
     text = CmLeaseReply_Encode(&reply);
     struct cm_lease_reply answer = {0};
     CU_ASSERT_FATAL(CmLeaseReply_Decode(&answer, text, strlen(text)));
@@ -460,8 +509,7 @@
     CU_ASSERT_EQUAL(answer.outcome, reply.outcome);
     CU_ASSERT_EQUAL(answer.version, reply.version);
     CU_ASSERT_EQUAL(answer.lacks_model, reply.lacks_model);
-    CU_ASSERT_EQUAL(answer.free_slots, reply.free_slots);
-    CU_ASSERT_EQUAL(answer.waiting_adapters, reply.waiting_adapters);
+    CU_ASSERT_EQUAL(answer.slot_wait_ms, reply.slot_wait_ms);
     CU_ASSERT_EQUAL(answer.backlog_ms, reply.backlog_ms);
     CU_ASSERT_EQUAL(answer.gateways, reply.gateways);
     CU_ASSERT_EQUAL(answer.running, reply.running);
@@ -478,6 +526,7 @@
 }
 
 static const struct cm_test tests[] = {
+    {"what is ahead of a load", test_ahead},
     {"granted when loaded", test_grant_when_loaded},
     {"who makes room", test_victim},
     {"who will not make room", test_refused_victim},
--- a/programs/coriandermoor-agent/slots/gateways.c
+++ b/programs/coriandermoor-agent/slots/gateways.c
@@ -117,8 +117,7 @@
         .outcome = outcome,
         .version = version,
         .lacks_model = slots->engine.known && !slots->engine.has_model,
-        .free_slots = CmResidency_FreeSlots(&slots->residency),
-        .waiting_adapters = CmResidency_WaitingAdapters(&slots->residency),
+        .slot_wait_ms = CmResidency_SlotWaitMs(&slots->residency),
         .backlog_ms = (int64_t)backlog_ms(slots),
         .gateways = g_hash_table_size(slots->gateways),
         .running = g_hash_table_size(slots->claims),
@@ -232,6 +231,16 @@
     g_hash_table_replace(slots->gateways, g_strdup(name), asked);
 }
 
+/// @return expected time until the engine could begin to read the prompt, but
+/// for the load itself.
+static double
+ahead_ms(const struct slots *slots, const struct cm_lease_ask *ask)
+{
+    return backlog_ms(slots) + (double)CmResidency_AheadMs(&slots->residency,
+                                                           ask->adapter,
+                                                           ask->version);
+}
+
 /// @return whether the answer follows later.
 static bool
 handle_lease(struct session *session)
@@ -255,7 +264,7 @@
     else if (!serves || strchr(ask.adapter, '/') == NULL) {
         reply(session, CM_LEASE_OUTCOME_DOWN, 0);
     }
-    else if (backlog_ms(slots) > (double)ask.backlog_max_ms) {
+    else if (ahead_ms(slots, &ask) > (double)ask.ahead_max_ms) {
         reply(session, CM_LEASE_OUTCOME_BUSY, 0);
     }
     else {
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -45,8 +45,7 @@
     }
     struct timespec now = Gateway_Now(request->gateway);
     bool held = reply.outcome == CM_LEASE_OUTCOME_HELD;
-    struct cm_slots_told told = {.free_slots = reply.free_slots,
-                                 .waiting_adapters = reply.waiting_adapters,
+    struct cm_slots_told told = {.slot_wait_ms = reply.slot_wait_ms,
                                  .backlog_ms = (double)reply.backlog_ms,
                                  .at = now};
     CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
@@ -108,7 +107,7 @@
 
 bool
 Lease_Ask(struct request *request, struct cm_live_target *target,
-          int64_t wait_ms, int64_t backlog_max_ms)
+          int64_t wait_ms, int64_t ahead_max_ms)
 {
     struct lease *lease = &request->lease;
     struct gateway *gateway = request->gateway;
@@ -126,7 +125,7 @@
         .priority = request->route->priority,
         .slots = spec != NULL ? spec->engine.adapter_slots : 1,
         .wait_ms = wait_ms,
-        .backlog_max_ms = backlog_max_ms,
+        .ahead_max_ms = ahead_max_ms,
         .on_time_ms = request->route->target_ms - FIRST_EVENT_MS -
                       CmTime_DiffMs(Gateway_Now(gateway), request->arrived),
     };
--- a/programs/coriandermoor/gateway/lease.h
+++ b/programs/coriandermoor/gateway/lease.h
@@ -8,11 +8,11 @@
 
 /// Asks the agent of `target` for the request's adapter. Request_Leased() or
 /// Request_NotLeased() follows, not from inside this function.
-/// @param backlog_max_ms prompts ahead beyond which the agent says busy.
+/// @param ahead_max_ms wait at the engine beyond which the agent says busy.
 /// @return false if the agent can't be asked.
 bool
 Lease_Ask(struct request *request, struct cm_live_target *target,
-          int64_t wait_ms, int64_t backlog_max_ms);
+          int64_t wait_ms, int64_t ahead_max_ms);
 
 /// Ends the claim, asked for or held.
 void
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -16,9 +16,10 @@
 #define LEASE_WAIT_MS 2000
 /// Added for the agent's answer to arrive.
 #define LEASE_GRACE_MS 100
-/// Prompts ahead at an engine that are accepted without a look at others, and
-/// agents that may say busy before one is taken as it is.
-#define BACKLOG_MAX_MS 150
+/// Wait at an engine (prompts to be read, slots in use) that is accepted
+/// without a look at others, and agents that may say busy before one is taken
+/// as it is.
+#define AHEAD_MAX_MS 150
 #define BUSY_ASKS_MAX 3
 /// Longest wait for engines that are starting, and the time between looks:
 /// a model comes from its engine's disk within one or two seconds.
@@ -50,16 +51,16 @@
         pick->candidates);
 }
 
-/// @return how many prompts may be ahead. An engine that is best although it
-/// said busy is taken as it is, and so is any after a few asks.
+/// @return how long the wait at the engine may be. An engine that is best
+/// although it said busy is taken as it is, and so is any after a few asks.
 static int64_t
-backlog_max_ms(const struct request *request,
-               const struct cm_live_target *target)
+ahead_max_ms(const struct request *request,
+             const struct cm_live_target *target)
 {
     if (request->busy_asks >= BUSY_ASKS_MAX || target == request->busy_last) {
         return INT64_MAX;
     }
-    return BACKLOG_MAX_MS * (1 + request->busy_asks);
+    return AHEAD_MAX_MS * (1 + request->busy_asks);
 }
 
 /// Asks for the adapter at the best engine.
@@ -86,7 +87,7 @@
             int64_t wait_ms = MIN(LEASE_WAIT_MS, Request_LeftMs(request));
             request->phase = REQUEST_LEASING;
             if (Lease_Ask(request, pick.target, wait_ms,
-                          backlog_max_ms(request, pick.target))) {
+                          ahead_max_ms(request, pick.target))) {
                 Request_SetTimer(request, wait_ms + LEASE_GRACE_MS);
                 return true;
             }
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -27,7 +27,7 @@
     int status;
     struct cm_live_target *target; ///< NULL while there is no claim
     bool held;
-    bool busy; ///< the agent had more prompts ahead than was allowed
+    bool busy; ///< the agent had more ahead than was allowed
 };
 
 /// One send to a target.
