feat(dispatch): holders of an adapter are filled in its order

Change: among the engines that hold an adapter the first in its order is taken until it is busier by 40 ms than the second, 80 ms than others.

--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -6,7 +6,9 @@
 /// once. An adapter's requests therefore stay where it is or has lately been;
 /// its first engine is the same for all entries (rendezvous hashing). A
 /// further engine fetches it only when those that have it are busier by more
-/// than such a load costs everybody.
+/// than such a load costs everybody, and of those that have it the first in
+/// the order are filled before the others: each holder's slot is pinned by
+/// runs.
 
 #include "dispatch/pick.h"
 
@@ -38,6 +40,10 @@
 /// be asked for it again.
 #define HOMES 2
 static const double home_load_ms[HOMES] = {300.0, 450.0};
+/// Wait beyond which the next holder in the adapter's order is asked, and one
+/// that is no home: the read of a prompt's shared part, which the first one
+/// has in memory, and the slot that the others get back.
+static const double holder_ms[HOMES + 1] = {0, 40.0, 80.0};
 
 /// Age after which what an engine told of its slots is worth nothing.
 #define SLOTS_AGE_MS 800
@@ -125,14 +131,14 @@
 }
 
 /// Cost of having the adapter in a slot there.
-/// @param rank   place of the target in the adapter's order, if below HOMES.
+/// @param rank   place of the target in the adapter's order, HOMES at most.
 /// @param copied whether some engine has it.
 static double
 adapter_cost(const struct cm_copy *copy, const struct cm_live_target *target,
              size_t rank, bool copied, struct timespec now)
 {
     if (copy != NULL && copy->held) {
-        return 0;
+        return holder_ms[rank];
     }
     double slot = slot_cost(target, now);
     if (is_warm(copy, now)) {
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -139,6 +139,31 @@
     }
 }
 
+/// An adapter is held by all engines: its requests keep to the first of its
+/// order until that one is busier by more than a shared prompt's read, so that
+/// the slots of the others come free.
+static void
+test_holders_are_filled_in_order(void)
+{
+    static const struct {
+        const char *pattern;
+        int in_flight; ///< at the first, where the others are idle
+        bool first;
+    } cases[] = {
+        {"idle", 0, true}, {"a few runs", 2, true}, {"many runs", 20, false}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct engine_state none[ENGINES] = {{0}};
+        int first = pick_among(none, ENGINES, "m/x");
+        struct engine_state states[ENGINES] = {{0}};
+        for (int e = 0; e < ENGINES; e++) {
+            states[e].held = true;
+        }
+        states[first].in_flight = cases[i].in_flight;
+        int picked = pick_among(states, ENGINES, "m/x");
+        CU_ASSERT_EQUAL(picked == first, cases[i].first);
+    }
+}
+
 static void
 test_plain(void)
 {
@@ -253,6 +278,7 @@
 }
 
 static const struct cm_test tests[] = {
+    {"holders are filled in order", test_holders_are_filled_in_order},
     {"one of two engines", test_one_of_two},
     {"first engines", test_homes},
     {"plain services", test_plain},
