feat(gateway): peers tell what they know while the store is away; settings are read again

SIGHUP and a changed settings file were only logged.

The settings file is read again on SIGHUP or when it has changed; repeats, drain and stop times and the log are taken, findings are logged with their place. Open connections of probes are freed at a stop.

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -149,7 +149,12 @@
     settings.format = format;
     settings.level = level;
     g_strlcpy(settings.process, process, sizeof(settings.process));
-    g_log_set_writer_func(writer, NULL, NULL);
+    // GLib takes one writer for the life of the process.
+    static bool installed;
+    if (!installed) {
+        g_log_set_writer_func(writer, NULL, NULL);
+        installed = true;
+    }
 }
 
 bool
--- a/packages/config/include/config/settings.h
+++ b/packages/config/include/config/settings.h
@@ -14,6 +14,7 @@
 /// Settings that both programs share.
 struct cm_settings {
     struct cm_yaml yaml; ///< owns all texts
+    const char *path;    ///< of the file
     const char *name;
     const char *zone;
     const char *admin; ///< IP:PORT for operators
@@ -53,11 +54,17 @@
     const char *eviction; ///< eviction policy
 };
 
+/// Other gateways that a gateway may be told of.
+#define CM_SEEDS_MAX 8
+
 /// Settings of a gateway: an entry before targets that it reaches directly.
 struct cm_gateway_settings {
     struct cm_settings common;
-    const char *listen;     ///< IP:PORT for callers
-    const char *ready;      ///< IP:PORT for the balancer's question
+    const char *listen;  ///< IP:PORT for callers
+    const char *ready;   ///< IP:PORT for the balancer's question
+    const char *control; ///< IP:PORT for other gateways, NULL for none
+    const char *seeds[CM_SEEDS_MAX]; ///< IP:PORT of other gateways' control
+    size_t n_seeds;
     const char *store;      ///< IP:PORT of the platform's store
     int64_t agent_port;     ///< of the agents, on their targets' machines
     double retry_ratio;     ///< repeats allowed for each request
--- a/packages/config/include/config/start.h
+++ b/packages/config/include/config/start.h
@@ -5,6 +5,9 @@
 #ifndef CONFIG_START_H
 #define CONFIG_START_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include "config/settings.h"
 
 /// A kind of program.
@@ -23,6 +26,26 @@
 CmProgram_Start(const struct cm_program *program, const char *path,
                 void *settings, void *state);
 
+/// What tells whether a file has changed.
+struct cm_file_mark {
+    int64_t modified_ns;
+    int64_t size;
+    uint64_t number; ///< of the file itself, as it may be replaced by another
+};
+
+/// @return whether `path` is another file, or changed, since the last call
+/// with this mark; false if it can't be looked at.
+bool
+CmProgram_FileChanged(const char *path, struct cm_file_mark *mark);
+
+/// Reads the settings file of a running program again; findings go to the
+/// log.
+/// @param settings  zeroed; to be freed with CmYaml_Finish() if it is sound.
+/// @return whether it is sound.
+bool
+CmProgram_Reread(const struct cm_program *program, const char *path,
+                 void *settings);
+
 /// @return the settings file of a program that was given none: what the
 /// platform's variable names, or the platform's place for it.
 const char *
--- a/packages/config/src/settings.c
+++ b/packages/config/src/settings.c
@@ -242,9 +242,26 @@
 
 struct gateway_text {
     struct common_text common;
+    const struct cm_yaml_node *seeds;
     struct cm_gateway_settings values;
 };
 
+static void
+read_seeds(struct cm_gateway_settings *settings,
+           const struct cm_yaml_node *list, struct cm_findings *findings)
+{
+    for (const struct cm_yaml_node *node = list->child; node != NULL;
+         node = node->next) {
+        if (settings->n_seeds == CM_SEEDS_MAX) {
+            CmYaml_Find(findings, node, "more than %d seeds", CM_SEEDS_MAX);
+            return;
+        }
+        if (CmYaml_IsScalar(node, "a seed", findings)) {
+            settings->seeds[settings->n_seeds++] = node->value;
+        }
+    }
+}
+
 #define GATEWAY_TEXT(field)                                                   \
     {                                                                         \
 #field, CM_YAML_TEXT, true,                                           \
@@ -264,6 +281,10 @@
         COMMON_FIELDS(struct gateway_text),
         GATEWAY_TEXT(listen),
         GATEWAY_TEXT(ready),
+        {"control", CM_YAML_TEXT, false,
+         offsetof(struct gateway_text, values.control), 0, 0},
+        {"seeds", CM_YAML_LIST, false, offsetof(struct gateway_text, seeds), 0,
+         0},
         GATEWAY_TEXT(store),
         GATEWAY_NUMBER(agent_port, 1, 65535),
         {"retry_ratio", CM_YAML_REAL, true,
@@ -280,6 +301,9 @@
     *settings = read.values;
     settings->common.yaml = yaml;
     finish_common(&settings->common, &read.common, findings);
+    if (read.seeds != NULL) {
+        read_seeds(settings, read.seeds, findings);
+    }
     return findings->count == 0;
 }
 
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -51,6 +51,7 @@
     char *id;
     char *service;
     char *address;
+    char *zone;
     char *agent; ///< address of the agent beside it
     uint64_t hash;
     bool same_zone;
--- a/programs/coriandermoor/gateway/feeds.c
+++ b/programs/coriandermoor/gateway/feeds.c
@@ -24,7 +24,9 @@
 /// Time for entries that lapsed during an outage of the store to come back.
 #define RETURN_WAIT_MS 2500
 
-static void
+/// Puts a configuration into force unless one as new is.
+/// @return whether it is in force now.
+static bool
 put_catalog(struct gateway *gateway, struct cm_catalog *catalog)
 {
     int64_t known = gateway->catalog != NULL ? gateway->catalog->version : -1;
@@ -36,7 +38,7 @@
                         catalog->version, known);
         }
         CmCatalog_Unref(catalog);
-        return;
+        return false;
     }
     CmLog_Event(G_LOG_LEVEL_INFO, "config", NULL,
                 "version %" PRId64 " replaces %" PRId64 ": %zu routes",
@@ -44,12 +46,13 @@
     CmCatalog_Unref(gateway->catalog);
     gateway->catalog = catalog;
     gateway->count.version.value = catalog->version;
+    return true;
 }
 
-static void
-on_catalog(void *context, const char *name, const json_t *spec)
+void
+Feeds_TakeCatalog(struct gateway *gateway, const char *name,
+                  const json_t *spec)
 {
-    struct gateway *gateway = context;
     GError *error = NULL;
     struct cm_catalog *catalog = CmCatalogCodec_Decode(spec, &error);
     if (catalog == NULL) {
@@ -59,7 +62,16 @@
         g_clear_error(&error);
         return;
     }
-    put_catalog(gateway, catalog);
+    if (put_catalog(gateway, catalog)) {
+        json_decref(gateway->configuration);
+        gateway->configuration = json_deep_copy(spec);
+    }
+}
+
+static void
+on_catalog(void *context, const char *name, const json_t *spec)
+{
+    Feeds_TakeCatalog(context, name, spec);
 }
 
 static void
@@ -177,6 +189,20 @@
                 "the record %s was removed, its version stays", name);
 }
 
+static struct cm_store_pace
+target_pace(const struct gateway *gateway)
+{
+    return (struct cm_store_pace){
+        (int64_t)((double)gateway->settings.drain_ms * TARGET_GAP_SHARE),
+        TARGET_WAIT_MS};
+}
+
+void
+Feeds_SetPace(struct gateway *gateway)
+{
+    gateway->target_feed.pace = target_pace(gateway);
+}
+
 void
 Feeds_Init(struct gateway *gateway)
 {
@@ -188,9 +214,7 @@
         NULL, on_version, on_version_removed, NULL};
     struct cm_store_pace rare = {CATALOG_GAP_MS, RARE_WAIT_MS};
     struct cm_store_pace version = {VERSION_GAP_MS, RARE_WAIT_MS};
-    struct cm_store_pace target = {
-        (int64_t)((double)gateway->settings.drain_ms * TARGET_GAP_SHARE),
-        TARGET_WAIT_MS};
+    struct cm_store_pace target = target_pace(gateway);
     struct cm_store *store = &gateway->store;
     gateway->removal = evtimer_new(gateway->base, on_removal, gateway);
     CmStore_Init(store, &gateway->pool, gateway->settings.store);
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -5,7 +5,8 @@
 /// Direction of the files: gateway_main.c starts the others; caller_conns.c
 /// reads requests and hands them to request.c; request.c places them and
 /// drives target_call.c (one send to a target) and lease.c (one claim on an
-/// adapter). feeds.c fills the tables that placing reads.
+/// adapter). feeds.c fills the tables that placing reads; peers.c fills them
+/// from another gateway's snapshot.c while the store is away.
 
 #ifndef GATEWAY_H
 #define GATEWAY_H
@@ -15,12 +16,13 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/histogram.h"
-#include "config/settings.h"
+#include "config/start.h"
 #include "dispatch/budget.h"
 #include "dispatch/catalog.h"
 #include "dispatch/targets.h"
 #include "h1/listener.h"
 #include "h1/pool.h"
+#include "peers_defs.h"
 #include "store.h"
 
 struct request;
@@ -59,6 +61,7 @@
     struct cm_h1_pool pool;
     struct cm_targets targets;
     struct cm_catalog *catalog; ///< NULL until a configuration is known
+    json_t *configuration;      ///< the same as the store has it
     GHashTable *budgets;        ///< service name to struct cm_budget
     GRand *random;
     int64_t gateways; ///< live ones, as agents count them
@@ -73,6 +76,9 @@
     struct cm_h1_listener callers_listener;
     struct cm_h1_listener ready_listener;
     struct cm_h1_listener admin_listener;
+    struct cm_h1_listener control_listener;
+    struct peers peers;
+    LIST_HEAD(, probe) probes; ///< connections of all but callers
     TAILQ_HEAD(, caller) callers;
     size_t n_requests;                 ///< in progress
     LIST_HEAD(, notice) notices;       ///< calls to agents without a request
@@ -84,6 +90,8 @@
     struct event *interrupt;
     struct event *hangup;
     struct event *tick;
+    struct cm_file_mark settings_mark;
+    struct timespec settings_seen; ///< last look at the file
     struct gateway_counters count;
     struct cm_histogram latency[N_LATENCIES];
 };
@@ -92,6 +100,11 @@
 struct timespec
 Gateway_Now(const struct gateway *gateway);
 
+/// @return whether requests can be placed: configuration and targets are
+/// known.
+bool
+Gateway_CanServe(const struct gateway *gateway);
+
 /// An agent tells how many gateways have asked it lately.
 void
 Gateway_HeardOfGateways(struct gateway *gateway, int64_t count);
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -14,7 +14,9 @@
 #include "feeds.h"
 #include "gateway.h"
 #include "lease.h"
+#include "peers.h"
 #include "probes.h"
+#include "reload.h"
 
 /// Interval of slow checks.
 #define TICK_MS 200
@@ -38,6 +40,12 @@
     return CmClock_Now(gateway->clock);
 }
 
+bool
+Gateway_CanServe(const struct gateway *gateway)
+{
+    return gateway->catalog != NULL && gateway->targets.count > 0;
+}
+
 void
 Gateway_HeardOfGateways(struct gateway *gateway, int64_t count)
 {
@@ -113,6 +121,7 @@
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     struct gateway *gateway = context;
+    Settings_Check(gateway);
     ask_for_models(gateway);
     check_stop(gateway);
 }
@@ -133,8 +142,7 @@
 static void
 on_hangup(evutil_socket_t fd, short what, void *context)
 {
-    CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
-                "the settings file changed: addresses hold until a restart");
+    Settings_Reload(context);
 }
 
 static void
@@ -153,6 +161,8 @@
     CmTargets_Init(&gateway->targets, settings->common.zone,
                    (int)settings->agent_port);
     Feeds_Init(gateway);
+    Peers_Init(gateway);
+    CmProgram_FileChanged(settings->common.path, &gateway->settings_mark);
     gateway->tick = event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
     gateway->term =
         evsignal_new(gateway->base, SIGTERM, on_stop_signal, gateway);
@@ -171,11 +181,13 @@
 {
     CallerConns_Finish(gateway);
     Probes_Finish(gateway);
+    Peers_Finish(gateway);
     Feeds_Finish(gateway);
     Lease_FinishCalls(gateway);
     CmH1Pool_Finish(&gateway->pool);
     CmTargets_Finish(&gateway->targets);
     CmCatalog_Unref(gateway->catalog);
+    json_decref(gateway->configuration);
     g_hash_table_destroy(gateway->budgets);
     g_rand_free(gateway->random);
     event_free(gateway->tick);
@@ -210,17 +222,10 @@
     return code;
 }
 
-static bool
-read_settings(void *settings, const char *text, size_t size,
-              struct cm_findings *findings)
-{
-    return CmSettings_ReadGateway(settings, text, size, findings);
-}
-
 int
 Gateway_Main(const char *path)
 {
-    static const struct cm_program program = {"coriandermoor", read_settings,
+    static const struct cm_program program = {"coriandermoor", Settings_Read,
                                               run};
     struct gateway gateway = {0};
     return CmProgram_Start(&program,
--- a/programs/coriandermoor/gateway/probes.c
+++ b/programs/coriandermoor/gateway/probes.c
@@ -1,18 +1,21 @@
 /// @file probes.c
-/// Readiness and metrics.
+/// Readiness, metrics, and what this gateway knows for others.
 
 #include "probes.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "h1/conn.h"
 #include "h1/writer.h"
+#include "snapshot.h"
 
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
 
 /// A connection that asks; it answers all requests on it.
 struct probe {
+    LIST_ENTRY(probe) link;
     struct gateway *gateway;
     struct cm_h1_conn conn;
     void (*answer)(struct probe *probe);
@@ -34,8 +37,7 @@
 answer_ready(struct probe *probe)
 {
     const struct gateway *gateway = probe->gateway;
-    bool ready = gateway->catalog != NULL && gateway->targets.count > 0 &&
-                 !gateway->leaving;
+    bool ready = Gateway_CanServe(gateway) && !gateway->leaving;
     write_text(probe, ready ? STATUS_OK : STATUS_UNAVAILABLE,
                ready ? "ready\n" : "not ready\n");
 }
@@ -50,9 +52,19 @@
     g_string_free(text, TRUE);
 }
 
+static void
+answer_snapshot(struct probe *probe)
+{
+    char *text = Snapshot_Compose(probe->gateway);
+    write_text(probe, text != NULL ? STATUS_OK : STATUS_UNAVAILABLE,
+               text != NULL ? text : "nothing is known yet\n");
+    free(text);
+}
+
 static void
 probe_free(struct probe *probe)
 {
+    LIST_REMOVE(probe, link);
     CmH1Conn_FinishAfterWrite(&probe->conn);
     g_free(probe);
 }
@@ -84,6 +96,7 @@
              void (*answer)(struct probe *probe))
 {
     struct probe *probe = g_new0(struct probe, 1);
+    LIST_INSERT_HEAD(&gateway->probes, probe, link);
     probe->gateway = gateway;
     probe->answer = answer;
     CmH1Conn_Accept(&probe->conn, gateway->base, fd, &handler, probe);
@@ -101,6 +114,12 @@
     accept_probe(context, fd, answer_metrics);
 }
 
+static void
+on_control_accept(void *context, evutil_socket_t fd)
+{
+    accept_probe(context, fd, answer_snapshot);
+}
+
 static void
 init_latencies(struct gateway *gateway)
 {
@@ -158,7 +177,11 @@
                              error) &&
            CmH1Listener_Init(&gateway->admin_listener, gateway->base,
                              settings->common.admin, on_admin_accept, gateway,
-                             error);
+                             error) &&
+           (settings->control == NULL ||
+            CmH1Listener_Init(&gateway->control_listener, gateway->base,
+                              settings->control, on_control_accept, gateway,
+                              error));
 }
 
 void
@@ -166,4 +189,9 @@
 {
     CmH1Listener_Finish(&gateway->ready_listener);
     CmH1Listener_Finish(&gateway->admin_listener);
+    CmH1Listener_Finish(&gateway->control_listener);
+    struct probe *probe;
+    while ((probe = LIST_FIRST(&gateway->probes)) != NULL) {
+        probe_free(probe);
+    }
 }
--- /dev/null
+++ b/programs/coriandermoor/gateway/snapshot.c
@@ -0,0 +1,133 @@
+/// @file snapshot.c
+/// Composes and takes a gateway's knowledge.
+
+#include "snapshot.h"
+
+#include "base/log.h"
+#include "feeds.h"
+
+static json_t *
+compose_held(const struct cm_live_target *target)
+{
+    json_t *held = json_array();
+    GHashTableIter iter;
+    void *adapter;
+    void *copy;
+    g_hash_table_iter_init(&iter, target->copies);
+    while (g_hash_table_iter_next(&iter, &adapter, &copy)) {
+        if (((struct cm_copy *)copy)->held) {
+            json_array_append_new(held, json_string(adapter));
+        }
+    }
+    return held;
+}
+
+static json_t *
+compose_target(const struct cm_live_target *target)
+{
+    return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:o}", "id", target->id,
+                     "service", target->service, "address", target->address,
+                     "zone", target->zone, "slots", (json_int_t)target->slots,
+                     "started_ms", (json_int_t)target->started_ms, "draining",
+                     (int)target->draining, "has_model",
+                     (int)target->has_model, "held", compose_held(target));
+}
+
+static json_t *
+compose_versions(const struct cm_targets *targets)
+{
+    json_t *versions = json_object();
+    GHashTableIter iter;
+    void *adapter;
+    void *version;
+    g_hash_table_iter_init(&iter, targets->versions);
+    while (g_hash_table_iter_next(&iter, &adapter, &version)) {
+        json_object_set_new(versions, adapter,
+                            json_integer(*(const int64_t *)version));
+    }
+    return versions;
+}
+
+char *
+Snapshot_Compose(const struct gateway *gateway)
+{
+    if (!Gateway_CanServe(gateway)) {
+        return NULL;
+    }
+    json_t *targets = json_array();
+    const struct cm_live_target *target;
+    CmList_FOREACH (target, &gateway->targets.list, link) {
+        json_array_append_new(targets, compose_target(target));
+    }
+    json_t *snapshot = json_pack(
+        "{s:O,s:o,s:o}", "configuration", gateway->configuration, "targets",
+        targets, "versions", compose_versions(&gateway->targets));
+    char *text = json_dumps(snapshot, JSON_COMPACT);
+    json_decref(snapshot);
+    return text;
+}
+
+static void
+take_target(struct gateway *gateway, const json_t *entry)
+{
+    struct cm_target_info info = {0};
+    json_int_t slots;
+    json_int_t started_ms;
+    int draining;
+    int has_model;
+    const json_t *held;
+    // Jansson's format takes a pointer that is not const.
+    if (json_unpack((json_t *)entry, "{s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:o}",
+                    "id", &info.id, "service", &info.service, "address",
+                    &info.address, "zone", &info.zone, "slots", &slots,
+                    "started_ms", &started_ms, "draining", &draining,
+                    "has_model", &has_model, "held", &held) != 0) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "peers", NULL,
+                    "a target in another gateway's snapshot is not "
+                    "understood: skipped");
+        return;
+    }
+    info.slots = slots;
+    info.started_ms = started_ms;
+    info.draining = draining != 0;
+    info.has_model = has_model != 0;
+    struct cm_live_target *target = CmTargets_Update(&gateway->targets, &info);
+    size_t i;
+    json_t *adapter;
+    json_array_foreach(held, i, adapter)
+    {
+        if (target != NULL && json_is_string(adapter)) {
+            CmTarget_SetHolds(target, json_string_value(adapter), true,
+                              Gateway_Now(gateway));
+        }
+    }
+}
+
+bool
+Snapshot_Take(struct gateway *gateway, const char *text, size_t size)
+{
+    json_t *snapshot = json_loadb(text, size, 0, NULL);
+    const json_t *configuration = json_object_get(snapshot, "configuration");
+    const json_t *targets = json_object_get(snapshot, "targets");
+    json_t *versions = json_object_get(snapshot, "versions");
+    bool sound = json_is_object(configuration) && json_is_array(targets) &&
+                 json_is_object(versions);
+    if (sound) {
+        Feeds_TakeCatalog(gateway, "another gateway's", configuration);
+        size_t i;
+        json_t *entry;
+        json_array_foreach(targets, i, entry)
+        {
+            take_target(gateway, entry);
+        }
+        const char *adapter;
+        json_t *version;
+        json_object_foreach(versions, adapter, version)
+        {
+            CmTargets_SetVersion(&gateway->targets, adapter,
+                                 json_integer_value(version));
+        }
+    }
+    json_decref(snapshot);
+    return sound;
+}
--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -84,6 +84,9 @@
             f'name: "gateway{i}"\nzone: "{"ab"[i % 2]}"\n'
             f'listen: "{host}:{self.port}"\nready: "{host}:{self.port + 1}"\n'
             f'admin: "{host}:{self.port + 2}"\n'
+            f'control: "{host}:{self.port + 3}"\n'
+            f'seeds: ["127.0.3.1:{self.port + 3}", '
+            f'"127.0.3.2:{self.port + 3}"]\n'
             f'store: "{self.store.address}"\nagent_port: {self.port + 1}\n'
             'retry_ratio: 0.2\nretry_reserve: 50\nretry_window_s: 10\n'
             f'stop_s: 8\ndrain_ms: {self.drain_ms}\n'))
