perf(dispatch): a pick weighs a bounded number of targets

Cause: a pick walked the list of all targets twice and compared service names, a target was found by a walk, so that a whole list cost its square; at the design's 5,400 engines a gateway could not have kept up.

Change: dispatch/index.c finds targets by id, address, service and adapter. A pick weighs those that have the adapter (32 at most) and a window of 24 others that begins at the adapter's place among the hashes, so all gateways agree on an adapter's first engines; targets that cannot serve do not count.

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #include "base/list.h"
+#include "dispatch/index.h"
 
 /// What the platform's list says of one target.
 struct cm_target_info {
@@ -45,9 +46,12 @@
     struct timespec at;   ///< 0 for never
 };
 
+struct cm_targets;
+
 /// One target.
 struct cm_live_target {
     LIST_ENTRY(cm_live_target) link;
+    struct cm_targets *table; ///< NULL once it is gone
     char *id;
     char *service;
     char *address;
@@ -63,6 +67,7 @@
     int64_t started_ms;
     int references; ///< the table and each attempt
     bool gone;      ///< no longer in the table
+    uint64_t pick;  ///< number of the last pick that looked at it
 
     int64_t in_flight;         ///< of this entry
     struct cm_slots_told told; ///< by its agent
@@ -84,6 +89,8 @@
 /// All targets.
 struct cm_targets {
     struct cm_target_list list;
+    struct cm_target_index index;
+    uint64_t picks; ///< made so far
     size_t count;
     const char *zone; ///< of this entry
     int agent_port;
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -60,15 +60,68 @@
     return false;
 }
 
+/// Targets that one pick weighs.
+struct candidates {
+    struct cm_live_target *targets[CM_PICK_WINDOW + CM_PICK_HOLDERS];
+    size_t n;
+};
+
+/// @return whether `target` can be weighed and is not yet.
 static bool
 is_candidate(const struct cm_live_target *target,
-             const struct cm_pick_request *request)
+             const struct cm_pick_request *request, uint64_t pick)
 {
-    return !target->draining &&
-           strcmp(target->service, request->service) == 0 &&
+    return target->pick != pick && !target->draining &&
+           (target->has_model || !request->needs_model) &&
            !was_tried(request, target);
 }
 
+/// Adds up to `most` targets of `among`, from `start` on and around.
+static void
+add_candidates(struct candidates *candidates, const GPtrArray *among,
+               size_t start, size_t most,
+               const struct cm_pick_request *request, uint64_t pick)
+{
+    size_t end = MIN(candidates->n + most, G_N_ELEMENTS(candidates->targets));
+    for (size_t i = 0; i < among->len && candidates->n < end; i++) {
+        struct cm_live_target *target =
+            g_ptr_array_index(among, (start + i) % among->len);
+        if (is_candidate(target, request, pick)) {
+            candidates->targets[candidates->n++] = target;
+            target->pick = pick;
+        }
+    }
+}
+
+/// Collects what one pick weighs: those that have the adapter, and a window of
+/// the service's others, so that a pick costs the same however many targets
+/// there are. For an adapter the window begins at its place among the hashes,
+/// for all gateways alike; otherwise anywhere.
+static void
+find_candidates(struct cm_targets *targets,
+                const struct cm_pick_request *request,
+                struct candidates *candidates)
+{
+    candidates->n = 0;
+    uint64_t pick = ++targets->picks;
+    const char *adapter = request->adapter;
+    const GPtrArray *service =
+        CmTargetIndex_OfService(&targets->index, request->service);
+    if (service == NULL) {
+        return;
+    }
+    const GPtrArray *holders =
+        adapter != NULL ? CmTargetIndex_WithCopy(&targets->index, adapter)
+                        : NULL;
+    if (holders != NULL) {
+        add_candidates(candidates, holders, 0, CM_PICK_HOLDERS, request, pick);
+    }
+    uint64_t place = adapter != NULL ? CmHash_Text(adapter, 0)
+                                     : CmHash_Bytes(&pick, sizeof(pick), 0);
+    add_candidates(candidates, service, CmTargetIndex_Place(service, place),
+                   CM_PICK_WINDOW, request, pick);
+}
+
 static bool
 is_ejected(const struct cm_live_target *target, struct timespec now)
 {
@@ -76,17 +129,15 @@
 }
 
 void
-CmPick_Plain(const struct cm_targets *targets,
-             const struct cm_pick_request *request, struct timespec now,
-             struct cm_pick *pick)
+CmPick_Plain(struct cm_targets *targets, const struct cm_pick_request *request,
+             struct timespec now, struct cm_pick *pick)
 {
     *pick = (struct cm_pick){0};
-    struct cm_live_target *target;
+    struct candidates all;
+    find_candidates(targets, request, &all);
     bool best_ejected = true;
-    CmList_FOREACH (target, &targets->list, link) {
-        if (!is_candidate(target, request)) {
-            continue;
-        }
+    for (size_t i = 0; i < all.n; i++) {
+        struct cm_live_target *target = all.targets[i];
         pick->candidates++;
         double slots = (double)MAX(target->slots, 1);
         double cost = CmTarget_Load(target, now) / slots * PLAIN_FULL_MS +
@@ -177,20 +228,17 @@
 }
 
 static void
-find_homes(const struct cm_targets *targets,
-           const struct cm_pick_request *request, struct timespec now,
-           bool ejected, struct homes *homes)
+find_homes(const struct candidates *candidates, const char *adapter,
+           struct timespec now, bool ejected, struct homes *homes)
 {
-    uint64_t seed = CmHash_Text(request->adapter, 1);
-    const struct cm_live_target *target;
-    CmList_FOREACH (target, &targets->list, link) {
-        if (is_candidate(target, request) && target->has_model &&
-            is_ejected(target, now) == ejected) {
+    uint64_t seed = CmHash_Text(adapter, 1);
+    for (size_t i = 0; i < candidates->n; i++) {
+        const struct cm_live_target *target = candidates->targets[i];
+        if (is_ejected(target, now) == ejected) {
             add_home(homes, target,
                      CmHash_Bytes(&target->hash, sizeof(target->hash), seed));
             homes->copied =
-                homes->copied ||
-                is_warm(CmTarget_Copy(target, request->adapter), now);
+                homes->copied || is_warm(CmTarget_Copy(target, adapter), now);
         }
     }
 }
@@ -206,19 +254,16 @@
 }
 
 static void
-pick_engine(const struct cm_targets *targets,
-            const struct cm_pick_request *request, struct timespec now,
-            bool ejected, struct cm_pick *pick)
+pick_engine(const struct candidates *candidates, const char *adapter,
+            struct timespec now, bool ejected, struct cm_pick *pick)
 {
-    const char *adapter = request->adapter;
     struct homes homes = {0};
     if (adapter != NULL) {
-        find_homes(targets, request, now, ejected, &homes);
+        find_homes(candidates, adapter, now, ejected, &homes);
     }
-    struct cm_live_target *target;
-    CmList_FOREACH (target, &targets->list, link) {
-        if (!is_candidate(target, request) || !target->has_model ||
-            is_ejected(target, now) != ejected) {
+    for (size_t i = 0; i < candidates->n; i++) {
+        struct cm_live_target *target = candidates->targets[i];
+        if (is_ejected(target, now) != ejected) {
             continue;
         }
         const struct cm_copy *copy =
@@ -238,13 +283,15 @@
 }
 
 void
-CmPick_Engine(const struct cm_targets *targets,
+CmPick_Engine(struct cm_targets *targets,
               const struct cm_pick_request *request, struct timespec now,
               struct cm_pick *pick)
 {
     *pick = (struct cm_pick){0};
-    pick_engine(targets, request, now, false, pick);
+    struct candidates all;
+    find_candidates(targets, request, &all);
+    pick_engine(&all, request->adapter, now, false, pick);
     if (pick->target == NULL) {
-        pick_engine(targets, request, now, true, pick);
+        pick_engine(&all, request->adapter, now, true, pick);
     }
 }
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -26,19 +26,31 @@
 {
     *targets = (struct cm_targets){.zone = zone, .agent_port = agent_port};
     LIST_INIT(&targets->list);
+    CmTargetIndex_Init(&targets->index);
     targets->versions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
+static void
+remove_target(struct cm_targets *targets, struct cm_live_target *target)
+{
+    LIST_REMOVE(target, link);
+    CmTargetIndex_Remove(&targets->index, target);
+    targets->count--;
+    target->table = NULL;
+    target->gone = true;
+    CmTarget_Unref(target);
+}
+
 void
 CmTargets_Finish(struct cm_targets *targets)
 {
     g_hash_table_destroy(targets->versions);
     struct cm_live_target *target;
     while ((target = LIST_FIRST(&targets->list)) != NULL) {
-        LIST_REMOVE(target, link);
-        CmTarget_Unref(target);
+        remove_target(targets, target);
     }
+    CmTargetIndex_Finish(&targets->index);
 }
 
 struct cm_live_target *
@@ -66,22 +78,7 @@
 struct cm_live_target *
 CmTargets_Find(const struct cm_targets *targets, const char *id)
 {
-    struct cm_live_target *target;
-    CmList_FOREACH (target, &targets->list, link) {
-        if (strcmp(target->id, id) == 0) {
-            return target;
-        }
-    }
-    return NULL;
-}
-
-static void
-remove_target(struct cm_targets *targets, struct cm_live_target *target)
-{
-    LIST_REMOVE(target, link);
-    targets->count--;
-    target->gone = true;
-    CmTarget_Unref(target);
+    return CmTargetIndex_Find(&targets->index, id);
 }
 
 static struct cm_live_target *
@@ -102,7 +99,9 @@
     target->copies =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     target->started_ms = info->started_ms;
+    target->table = targets;
     LIST_INSERT_HEAD(&targets->list, target, link);
+    CmTargetIndex_Add(&targets->index, target);
     targets->count++;
     return target;
 }
@@ -122,10 +121,11 @@
 find_successor(const struct cm_targets *targets,
                const struct cm_target_info *info)
 {
-    struct cm_live_target *target;
-    CmList_FOREACH (target, &targets->list, link) {
+    const GPtrArray *there =
+        CmTargetIndex_AtAddress(&targets->index, info->address);
+    for (guint i = 0; there != NULL && i < there->len; i++) {
+        struct cm_live_target *target = g_ptr_array_index(there, i);
         if (target->started_ms > info->started_ms &&
-            strcmp(target->address, info->address) == 0 &&
             strcmp(target->id, info->id) != 0) {
             return target;
         }
@@ -139,12 +139,12 @@
 remove_predecessors(struct cm_targets *targets,
                     const struct cm_live_target *successor)
 {
-    struct cm_live_target *target;
-    struct cm_live_target *next;
-    CmList_FOREACH_SAFE (target, &targets->list, link, next) {
-        if (target != successor &&
-            target->started_ms < successor->started_ms &&
-            strcmp(target->address, successor->address) == 0) {
+    const GPtrArray *there =
+        CmTargetIndex_AtAddress(&targets->index, successor->address);
+    // The successor itself stays in the array, which lives on with it.
+    for (guint i = there->len; i > 0; i--) {
+        struct cm_live_target *target = g_ptr_array_index(there, i - 1);
+        if (target->started_ms < successor->started_ms) {
             remove_target(targets, target);
         }
     }
@@ -218,6 +218,9 @@
     if (copy == NULL) {
         copy = g_new0(struct cm_copy, 1);
         g_hash_table_insert(target->copies, g_strdup(adapter), copy);
+        if (target->table != NULL) {
+            CmTargetIndex_AddCopy(&target->table->index, adapter, target);
+        }
     }
     return copy;
 }
@@ -263,15 +266,20 @@
 CmTarget_EndHeld(struct cm_live_target *target, struct timespec now)
 {
     GHashTableIter iter;
+    void *adapter;
     void *value;
     g_hash_table_iter_init(&iter, target->copies);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    while (g_hash_table_iter_next(&iter, &adapter, &value)) {
         struct cm_copy *copy = value;
         int64_t age_ms = CmTime_DiffMs(now, copy->seen);
         if (!copy->listed && age_ms > CM_COPY_FRESH_MS) {
             copy->held = false;
         }
         if (age_ms > CM_COPY_WARM_MS) {
+            if (target->table != NULL) {
+                CmTargetIndex_RemoveCopy(&target->table->index, adapter,
+                                         target);
+            }
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -144,6 +144,7 @@
     struct cm_pick_request wanted = {
         .service = request->service,
         .adapter = request->asked.adapter,
+        .needs_model = request->asked.model != NULL,
         .tried = request->tried,
         .n_tried = request->n_tried,
     };
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -314,6 +314,7 @@
     struct cm_pick_request wanted = {
         .service = request->service,
         .adapter = request->asked.adapter,
+        .needs_model = request->asked.model != NULL,
         .tried = tried,
         .n_tried = request->n_tried + 1,
     };
--- /dev/null
+++ b/testing/pick-cost/pick_cost.c
@@ -0,0 +1,79 @@
+/// @file pick_cost.c
+/// Picks engines for adapters with a popularity as callers have it, so that a
+/// profiler can count the cost of one pick: pick-cost ENGINES PICKS.
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "dispatch/pick.h"
+
+/// Adapters, of which each engine holds a few.
+#define ADAPTERS 24000
+#define SLOTS 5
+/// Exponent of their popularity.
+#define SKEW 1.1
+
+static void
+add_engine(struct cm_targets *targets, int i)
+{
+    char id[16];
+    char address[32];
+    snprintf(id, sizeof(id), "e%d", i);
+    snprintf(address, sizeof(address), "10.%d.%d.%d:80", i / 65536,
+             i / 256 % 256, i % 256);
+    struct cm_target_info info = {.id = id,
+                                  .service = "s",
+                                  .address = address,
+                                  .zone = i % 2 == 0 ? "a" : "b",
+                                  .slots = 64,
+                                  .has_model = true};
+    CmTargets_Update(targets, &info);
+}
+
+/// @return an adapter's key; low numbers are popular.
+static const char *
+draw_adapter(GRand *random)
+{
+    static char key[32];
+    double share = pow(g_rand_double(random), SKEW * 4);
+    snprintf(key, sizeof(key), "m/a%d", (int)(share * ADAPTERS));
+    return key;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 3) {
+        fprintf(stderr, "usage: pick-cost ENGINES PICKS\n");
+        return EXIT_FAILURE;
+    }
+    int engines = (int)strtol(argv[1], NULL, 10);
+    int picks = (int)strtol(argv[2], NULL, 10);
+    struct timespec now = {.tv_sec = 1000};
+    GRand *random = g_rand_new_with_seed(1);
+    struct cm_targets targets;
+    CmTargets_Init(&targets, "a", 1);
+    for (int i = 0; i < engines; i++) {
+        add_engine(&targets, i);
+    }
+    for (int i = 0; i < picks; i++) {
+        const char *adapter = draw_adapter(random);
+        struct cm_pick_request request = {
+            .service = "s", .adapter = adapter, .needs_model = true};
+        struct cm_pick pick;
+        CmPick_Engine(&targets, &request, now, &pick);
+        CmTarget_SetHolds(pick.target, adapter, true, now);
+        // As many are held as there are slots.
+        if (g_hash_table_size(pick.target->copies) > SLOTS) {
+            CmTarget_BeginHeld(pick.target);
+            CmTarget_ListedHeld(pick.target, adapter, now);
+            CmTarget_EndHeld(pick.target, CmTime_AddMs(now, CM_COPY_FRESH_MS));
+        }
+        now = CmTime_AddMs(now, 1);
+    }
+    CmTargets_Finish(&targets);
+    g_rand_free(random);
+    return EXIT_SUCCESS;
+}
