feat(gateway): callers' connections and addresses out of use are bounded

Cause: found by reading. A caller could hold a connection for ever with a body that does not go on; nothing bounded callers' connections, so that targets and the store could run out of files; the pool remembered each address ever used.

--- a/packages/config/include/config/settings.h
+++ b/packages/config/include/config/settings.h
@@ -70,6 +70,7 @@
     double retry_ratio;     ///< repeats allowed for each request
     int64_t retry_reserve;  ///< repeats allowed besides, of all gateways
     int64_t retry_window_s; ///< window of both
+    int64_t files;          ///< that the process may have open
     int64_t drain_ms; ///< a leaving target gets nothing new after this time
     int64_t stop_s;   ///< longest time a planned stop takes
 };
--- a/packages/config/src/settings.c
+++ b/packages/config/src/settings.c
@@ -291,6 +291,7 @@
          offsetof(struct gateway_text, values.retry_ratio), 0, 1},
         GATEWAY_NUMBER(retry_reserve, 0, 1000000),
         GATEWAY_NUMBER(retry_window_s, 1, 3600),
+        GATEWAY_NUMBER(files, 64, 10000000),
         GATEWAY_NUMBER(drain_ms, 100, 60000),
         GATEWAY_NUMBER(stop_s, 1, 3600),
     };
--- a/packages/h1/include/h1/pool.h
+++ b/packages/h1/include/h1/pool.h
@@ -71,6 +71,11 @@
 void
 CmH1Pool_Finish(struct cm_h1_pool *pool);
 
+/// Closes kept connections that are no longer good, and forgets addresses
+/// without any; to be called now and then.
+void
+CmH1Pool_Sweep(struct cm_h1_pool *pool);
+
 /// Starts a call. `end` is never called from inside this function.
 /// @return false if no connection could be tried; no callback follows then.
 bool
--- a/packages/h1/src/pool.c
+++ b/packages/h1/src/pool.c
@@ -190,6 +190,28 @@
     g_hash_table_destroy(pool->peers);
 }
 
+static gboolean
+is_unused(void *key, void *value, void *now)
+{
+    struct cm_h1_peer *peer = value;
+    struct cm_h1_pooled *pooled;
+    struct cm_h1_pooled *next;
+    CmList_FOREACH_SAFE (pooled, &peer->idle, link, next) {
+        if (CmTime_DiffMs(*(struct timespec *)now, pooled->idle_since) >
+            pooled->keep_ms) {
+            pooled_free(pooled);
+        }
+    }
+    return LIST_EMPTY(&peer->idle) && LIST_EMPTY(&peer->busy);
+}
+
+void
+CmH1Pool_Sweep(struct cm_h1_pool *pool)
+{
+    struct timespec now = CmClock_Now(pool->clock);
+    g_hash_table_foreach_remove(pool->peers, is_unused, &now);
+}
+
 static struct cm_h1_peer *
 find_peer(struct cm_h1_pool *pool, const char *address)
 {
--- a/packages/h1/tests/pool_test.c
+++ b/packages/h1/tests/pool_test.c
@@ -276,7 +276,36 @@
     event_base_free(base);
 }
 
+/// An address is remembered while a connection to it is good, and no longer.
+static void
+test_sweep(void)
+{
+    static const struct {
+        int64_t idle_ms;
+        guint peers;
+    } cases[] = {{100, 1}, {4800, 1}, {4900, 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        static const char *const answers[] = {SIZED("ab")};
+        struct event_base *base = event_base_new();
+        struct server server = {.answers = answers, .n_answers = 1};
+        server_init(&server, base);
+        struct cm_manual_clock clock;
+        CmManualClock_Init(&clock);
+        struct cm_h1_pool pool;
+        CmH1Pool_Init(&pool, base, &clock.base);
+        struct outcome outcome;
+        make_call(&pool, server.address, &outcome);
+        CmManualClock_Advance(&clock, cases[i].idle_ms);
+        CmH1Pool_Sweep(&pool);
+        CU_ASSERT_EQUAL(g_hash_table_size(pool.peers), cases[i].peers);
+        CmH1Pool_Finish(&pool);
+        server_finish(&server);
+        event_base_free(base);
+    }
+}
+
 static const struct cm_test tests[] = {
+    {"addresses out of use", test_sweep},
     {"answers", test_answers},
     {"unsent", test_unsent},
 };
--- a/programs/coriandermoor-agent/slots/slots_main.c
+++ b/programs/coriandermoor-agent/slots/slots_main.c
@@ -16,6 +16,7 @@
 #define SWEEP_MS 2000
 /// Slots until the first gateway tells how many the engine has.
 #define SLOTS_UNKNOWN 1
+
 struct timespec
 Slots_Now(const struct slots *slots)
 {
@@ -38,7 +39,9 @@
 static void
 on_sweep(evutil_socket_t fd, short what, void *context)
 {
-    Gateways_Sweep(context);
+    struct slots *slots = context;
+    Gateways_Sweep(slots);
+    CmH1Pool_Sweep(&slots->pool);
 }
 
 static void
--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -4,6 +4,7 @@
 #include "caller_conns.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #include "base/log.h"
 #include "call_codec.h"
@@ -12,6 +13,10 @@
 /// Limits while no configuration is known.
 #define BODY_DEFAULT_BYTES ((int64_t)4 * 1024 * 1024)
 #define IDLE_DEFAULT_MS 30000
+/// Share of the process's files that callers' connections may take, and
+/// connections beyond it that still get an answer before they are closed.
+#define CALLERS_PERCENT 60
+#define EXCESS_MAX 100
 /// Added to the configured idle time, for a request that is on its way.
 #define IDLE_MARGIN_MS 2000
 
@@ -59,7 +64,6 @@
 on_head(void *context, const struct cm_h1_head *head)
 {
     struct caller *caller = context;
-    evtimer_del(caller->timer);
     caller->reading = true;
     caller->too_large = false;
     g_string_truncate(caller->body, 0);
@@ -74,6 +78,7 @@
 {
     struct caller *caller = context;
     const struct cm_catalog *catalog = caller->gateway->catalog;
+    set_idle_timer(caller);
     int64_t limit =
         catalog != NULL ? catalog->limits.body_bytes : BODY_DEFAULT_BYTES;
     if ((int64_t)(caller->body->len + size) > limit) {
@@ -88,6 +93,7 @@
 {
     struct caller *caller = context;
     caller->reading = false;
+    evtimer_del(caller->timer);
     if (caller->too_large) {
         reject(caller, STATUS_TOO_LARGE, "the body is too large");
         return;
@@ -121,16 +127,33 @@
 on_timer(evutil_socket_t fd, short what, void *context)
 {
     struct caller *caller = context;
-    if (caller->request == NULL) {
+    if (caller->reading) {
+        reject(caller, STATUS_TIMEOUT, "the body did not arrive in time");
+    }
+    else if (caller->request == NULL) {
         caller_free(caller);
     }
 }
 
+/// @return connections of callers beyond which new ones are refused: targets,
+/// agents and the store need the other files.
+static int64_t
+connections_max(const struct gateway *gateway)
+{
+    return gateway->settings.files * CALLERS_PERCENT / 100;
+}
+
 static void
 on_accept(void *context, evutil_socket_t fd)
 {
     struct gateway *gateway = context;
+    int64_t most = connections_max(gateway);
+    if (gateway->count.callers.value >= most + EXCESS_MAX) {
+        close(fd);
+        return;
+    }
     struct caller *caller = g_new0(struct caller, 1);
+    caller->excess = gateway->count.callers.value >= most;
     caller->gateway = gateway;
     caller->body = g_string_new(NULL);
     caller->timer = evtimer_new(gateway->base, on_timer, caller);
@@ -191,7 +214,7 @@
 bool
 Caller_Keeps(const struct caller *caller)
 {
-    return CmH1Conn_Head(&caller->conn)->keep_alive &&
+    return CmH1Conn_Head(&caller->conn)->keep_alive && !caller->excess &&
            !caller->gateway->leaving;
 }
 
--- a/programs/coriandermoor/gateway/caller_conns.h
+++ b/programs/coriandermoor/gateway/caller_conns.h
@@ -19,6 +19,7 @@
     struct event *timer;     ///< limit on idleness and slow headers
     bool too_large;
     bool reading; ///< a part of a request has arrived
+    bool excess;  ///< accepted beyond the limit: one refusal, then closed
 };
 
 /// Starts to listen.
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -90,8 +90,8 @@
     struct event *interrupt;
     struct event *hangup;
     struct event *tick;
+    struct event *sweep;
     struct cm_file_mark settings_mark;
-    struct timespec settings_seen; ///< last look at the file
     struct gateway_counters count;
     struct cm_histogram latency[N_LATENCIES];
 };
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -20,6 +20,8 @@
 
 /// Interval of slow checks.
 #define TICK_MS 200
+/// Interval of slower ones: the settings file, connections out of use.
+#define SWEEP_MS 2000
 /// Gateways assumed until an agent has told how many there are: the reserve of
 /// repeats is shared among all.
 #define GATEWAYS_UNKNOWN 32
@@ -121,11 +123,18 @@
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     struct gateway *gateway = context;
-    Settings_Check(gateway);
     ask_for_models(gateway);
     check_stop(gateway);
 }
 
+static void
+on_sweep(evutil_socket_t fd, short what, void *context)
+{
+    struct gateway *gateway = context;
+    Settings_Check(gateway);
+    CmH1Pool_Sweep(&gateway->pool);
+}
+
 static void
 on_stop_signal(evutil_socket_t fd, short what, void *context)
 {
@@ -164,6 +173,8 @@
     Peers_Init(gateway);
     CmProgram_FileChanged(settings->common.path, &gateway->settings_mark);
     gateway->tick = event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
+    gateway->sweep =
+        event_new(gateway->base, -1, EV_PERSIST, on_sweep, gateway);
     gateway->term =
         evsignal_new(gateway->base, SIGTERM, on_stop_signal, gateway);
     gateway->interrupt =
@@ -171,6 +182,8 @@
     gateway->hangup = evsignal_new(gateway->base, SIGHUP, on_hangup, gateway);
     struct timeval tick = CmTime_Timeval(TICK_MS);
     event_add(gateway->tick, &tick);
+    struct timeval sweep = CmTime_Timeval(SWEEP_MS);
+    event_add(gateway->sweep, &sweep);
     event_add(gateway->term, NULL);
     event_add(gateway->interrupt, NULL);
     event_add(gateway->hangup, NULL);
@@ -191,6 +204,7 @@
     g_hash_table_destroy(gateway->budgets);
     g_rand_free(gateway->random);
     event_free(gateway->tick);
+    event_free(gateway->sweep);
     event_free(gateway->term);
     event_free(gateway->interrupt);
     event_free(gateway->hangup);
--- a/programs/coriandermoor/gateway/reload.c
+++ b/programs/coriandermoor/gateway/reload.c
@@ -10,9 +10,6 @@
 #include "config/yaml.h"
 #include "feeds.h"
 
-/// Time between two looks whether the file has changed.
-#define CHECK_MS 2000
-
 bool
 Settings_Read(void *settings, const char *text, size_t size,
               struct cm_findings *findings)
@@ -75,11 +72,6 @@
 void
 Settings_Check(struct gateway *gateway)
 {
-    struct timespec now = Gateway_Now(gateway);
-    if (CmTime_DiffMs(now, gateway->settings_seen) < CHECK_MS) {
-        return;
-    }
-    gateway->settings_seen = now;
     if (CmProgram_FileChanged(gateway->settings.common.path,
                               &gateway->settings_mark)) {
         Settings_Reload(gateway);
--- a/programs/coriandermoor/gateway/reload.h
+++ b/programs/coriandermoor/gateway/reload.h
@@ -17,7 +17,7 @@
 void
 Settings_Reload(struct gateway *gateway);
 
-/// Looks now and then whether the file has changed, and takes it if so.
+/// Takes the file if it has changed.
 void
 Settings_Check(struct gateway *gateway);
 
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -403,6 +403,11 @@
     gateway->count.requests.value++;
     CmCallCodec_Request(head, &request->asked);
     CmEvents_Init(&request->events, request->asked.last_event);
+    if (caller->excess) {
+        Answer_Own(request, STATUS_UNAVAILABLE,
+                   "too many connections are open");
+        return;
+    }
     if (gateway->catalog == NULL) {
         Answer_Own(request, STATUS_UNAVAILABLE,
                    "no configuration is known yet");
--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -45,11 +45,12 @@
     127.0.2.N, gateways at 127.0.3.N, the store at 127.0.4.1."""
 
     def __init__(self, build, folder, engines=3, plains=2, gateways=2,
-                 adapter_slots=3, port=23000, drain_ms=2000):
+                 adapter_slots=3, port=23000, drain_ms=2000, files=1000):
         self.build, self.folder = pathlib.Path(build), pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.port = port
         self.drain_ms = drain_ms
+        self.files = files
         self.adapter_slots = adapter_slots
         self.store = Store("127.0.4.1", port)
         self.engines = [
@@ -89,7 +90,7 @@
             f'"127.0.3.2:{self.port + 3}"]\n'
             f'store: "{self.store.address}"\nagent_port: {self.port + 1}\n'
             'retry_ratio: 0.2\nretry_reserve: 50\nretry_window_s: 10\n'
-            f'stop_s: 8\ndrain_ms: {self.drain_ms}\n'))
+            f'stop_s: 8\ndrain_ms: {self.drain_ms}\nfiles: {self.files}\n'))
         return Process(f"gateway{i}", [
             str(self.build / "coriandermoor"), "gateway", "--settings",
             path], self.folder / f"gateway{i}.log")
