test(residency,gateway): tests for two mends that had none

Change: the late loads are a module of their own, pure, with a table and a run against an engine that must not be overfilled; e2e unread_stream lets a caller read nothing of a 20 MB stream. dispatch says gateway where one is meant.

--- a/packages/dispatch/include/dispatch/budget.h
+++ b/packages/dispatch/include/dispatch/budget.h
@@ -1,6 +1,6 @@
 /// @file budget.h
-/// Limit on repeated sends, kept by each entry alone: a share of its own
-/// requests, and its part of a fixed reserve. The sum over all entries then
+/// Limit on repeated sends, kept by each gateway alone: a share of its own
+/// requests, and its part of a fixed reserve. The sum over all gateways then
 /// stays below the operators' bound without talk between them.
 
 #ifndef DISPATCH_BUDGET_H
--- a/packages/dispatch/include/dispatch/catalog_defs.h
+++ b/packages/dispatch/include/dispatch/catalog_defs.h
@@ -49,7 +49,7 @@
 /// One service.
 struct cm_service_spec {
     char *name;
-    int64_t max_connections; ///< of one target, from all entries
+    int64_t max_connections; ///< of one target, from all gateways
     struct cm_engine_traits engine;
 };
 
--- a/packages/dispatch/include/dispatch/pick.h
+++ b/packages/dispatch/include/dispatch/pick.h
@@ -33,7 +33,7 @@
 };
 
 /// Chooses a target for a request to a plain service: the least loaded one,
-/// the entry's own zone first among equals.
+/// the gateway's own zone first among equals.
 void
 CmPick_Plain(struct cm_targets *targets, const struct cm_pick_request *request,
              struct timespec now, struct cm_pick *pick);
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -1,5 +1,5 @@
 /// @file target_defs.h
-/// Targets as one entry sees them.
+/// Targets as one gateway sees them.
 
 #ifndef DISPATCH_TARGET_DEFS_H
 #define DISPATCH_TARGET_DEFS_H
@@ -15,7 +15,7 @@
 /// What the platform's list says of one target.
 struct cm_target_info {
     const char *id;      ///< of this incarnation, mostly
-    const char *service; ///< NULL if the entry is unusable
+    const char *service; ///< NULL if what is listed is unusable
     const char *address; ///< IP:PORT
     const char *zone;
     int64_t slots;      ///< requests it runs at once
@@ -69,10 +69,10 @@
     bool gone;      ///< no longer in the table
     uint64_t pick;  ///< number of the last pick that looked at it
 
-    int64_t in_flight;         ///< of this entry
+    int64_t in_flight;         ///< of this gateway
     struct cm_slots_told told; ///< by its agent
     int64_t reported;          ///< running and waiting, by its last response
-    int64_t in_flight_then;    ///< of this entry at that time
+    int64_t in_flight_then;    ///< of this gateway at that time
     struct timespec reported_at;
 
     GHashTable *copies; ///< adapter key to struct cm_copy
@@ -92,7 +92,7 @@
     struct cm_target_index index;
     uint64_t picks; ///< made so far
     size_t count;
-    const char *zone; ///< of this entry
+    const char *zone; ///< of this gateway
     int agent_port;
     GHashTable *versions; ///< adapter key to int64_t, announced versions
 };
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -4,7 +4,7 @@
 /// Load pattern: few very popular adapters and a long tail, with slots for
 /// only a few adapters an engine, while the store bears only a few loads at
 /// once. An adapter's requests therefore stay where it is or has lately been;
-/// its first engine is the same for all entries (rendezvous hashing). A
+/// its first engine is the same for all gateways (rendezvous hashing). A
 /// further engine fetches it only when those that have it are busier by more
 /// than such a load costs everybody, and of those that have it the first in
 /// the order are filled before the others: each holder's slot is pinned by
@@ -33,7 +33,7 @@
 /// it takes, and for the store also what it delays other loads.
 #define WARM_LOAD_MS 40.0
 #define COLD_LOAD_MS 600.0
-/// The same if no engine is known to have the adapter: other entries would
+/// The same if no engine is known to have the adapter: other gateways would
 /// not find it here, and fetch it once more.
 #define STRAY_LOAD_MS 1500.0
 /// The same at the first engines of an adapter's order, which are likely to
--- /dev/null
+++ b/packages/residency/include/residency/late_loads.h
@@ -0,0 +1,45 @@
+/// @file late_loads.h
+/// Loads that were ordered and got no answer: an engine may carry one out
+/// seconds later, in its next incarnation too if that has the same id. There
+/// the number of orders counts anew, and the load acts when it comes up to
+/// the number that the order expects. Pure.
+
+#ifndef RESIDENCY_LATE_LOADS_H
+#define RESIDENCY_LATE_LOADS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <time.h>
+
+/// Loads that are remembered: far more than go without an answer in the time
+/// within which they may still be carried out.
+#define CM_LATE_LOADS_MAX 16
+/// Time for which an order without an answer may still be carried out.
+#define CM_LATE_LOAD_MS 15000
+
+struct cm_late_load {
+    int64_t expect; ///< number of orders at which it acts
+    struct timespec noted;
+};
+
+struct cm_late_loads {
+    struct cm_late_load loads[CM_LATE_LOADS_MAX]; ///< the oldest is replaced
+    size_t count;                                 ///< ever noted
+};
+
+/// A load that expects `expect` accepted orders got no answer.
+void
+CmLateLoads_Note(struct cm_late_loads *late, int64_t expect,
+                 struct timespec now);
+
+/// @param orders    that the present incarnation has accepted.
+/// @param restarted when it was noticed. In the incarnation they were meant
+/// for, loads act only at a number that newer orders have passed.
+/// @return whether a load of a former incarnation could act now, or after one
+/// more order: a slot must stay free for it.
+bool
+CmLateLoads_Due(const struct cm_late_loads *late, int64_t orders,
+                struct timespec restarted, struct timespec now);
+
+#endif
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -21,8 +21,6 @@
 #define FAILURES_DOWN 2
 /// Pause after an order that was not accepted.
 #define REFUSED_PAUSE_MS 100
-/// Time for which an order without an answer may still be carried out.
-#define UNANSWERED_MS 15000
 /// Pause between two orders for the base model.
 #define MODEL_PAUSE_MS 3000
 #define IDLE_MAX_MS 10000
@@ -207,29 +205,9 @@
 {
     struct engine *engine = &slots->engine;
     if (what == ENGINE_ORDER && engine->order.load) {
-        engine->late_loads[engine->n_late_loads++ % LATE_LOADS_MAX] =
-            (struct late_load){engine->report.orders, Slots_Now(slots)};
-    }
-}
-
-/// @return whether a load of the former incarnation could act at the present
-/// number of orders, or after one more.
-static bool
-late_load_is_due(const struct slots *slots)
-{
-    const struct engine *engine = &slots->engine;
-    struct timespec now = Slots_Now(slots);
-    size_t n = MIN(engine->n_late_loads, LATE_LOADS_MAX);
-    for (size_t i = 0; i < n; i++) {
-        const struct late_load *late = &engine->late_loads[i];
-        int64_t ahead = late->expect - engine->report.orders;
-        if ((ahead == 0 || ahead == 1) &&
-            CmTime_Before(late->noted, engine->restarted) &&
-            CmTime_DiffMs(now, late->noted) < UNANSWERED_MS) {
-            return true;
-        }
+        CmLateLoads_Note(&engine->late_loads, engine->report.orders,
+                         Slots_Now(slots));
     }
-    return false;
 }
 
 static void
@@ -371,8 +349,9 @@
         return;
     }
     g_clear_pointer(&engine->order.adapter, g_free);
-    slots->residency.slots =
-        slots->engine_slots - (late_load_is_due(slots) ? 1 : 0);
+    bool late = CmLateLoads_Due(&engine->late_loads, engine->report.orders,
+                                engine->restarted, Slots_Now(slots));
+    slots->residency.slots = slots->engine_slots - (late ? 1 : 0);
     if (may_order && engine->has_model &&
         CmResidency_NextOrder(&slots->residency, Slots_Now(slots),
                               &engine->order)) {
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -17,6 +17,7 @@
 #include "engine_codec.h"
 #include "h1/listener.h"
 #include "h1/pool.h"
+#include "residency/late_loads.h"
 #include "residency/residency.h"
 
 /// What is under way at the engine; one call at a time, so that a report
@@ -34,15 +35,6 @@
     int64_t events;
 };
 
-/// Loads without an answer that are remembered.
-#define LATE_LOADS_MAX 16
-
-/// A load that got no answer and may be carried out later.
-struct late_load {
-    int64_t expect; ///< number of orders at which it acts
-    struct timespec noted;
-};
-
 /// The engine as this agent sees it.
 struct engine {
     struct cm_h1_call call;
@@ -57,8 +49,7 @@
     bool has_model;
     bool stale;   ///< an order was given since the last report
     int failures; ///< in a row
-    struct late_load late_loads[LATE_LOADS_MAX]; ///< the oldest is replaced
-    size_t n_late_loads;                         ///< ever noted
+    struct cm_late_loads late_loads;
     struct timespec restarted; ///< when another incarnation was noticed
     int64_t fence;
     char *model;    ///< that gateways want loaded, or NULL
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -292,6 +292,7 @@
         self.unnamed_orders = 0
         self.lose_orders = 0.0
         self.cut_after = 0  # events after which each stream is cut
+        self.padding = 0    # bytes added to each event
 
     async def start(self, model=True):
         self.models = [self.MODEL] if model else []
@@ -415,7 +416,8 @@
                     await asyncio.sleep(0.02)
                 if self.cut_after and number - last > self.cut_after:
                     raise ConnectionError
-                event = f"id: {number}\ndata: {adapter} {number}\n\n"
+                filler = "x" * self.padding
+                event = f"id: {number}\ndata: {adapter} {number}{filler}\n\n"
                 # Sometimes an event arrives in two parts.
                 if number % 5 == 0:
                     yield event[:7].encode()
