fix(residency): several late loads in a row keep several slots free

Cause: found by a model (testing/model/orders.pml): after a restart under the same id, two loads of the former incarnation that expect consecutive numbers act one after the other; one free slot, as so far, does not cover both, and the engine is told to hold too much.

Change: the reserve is the longest such run, less the unloads that can still come before it. It holds only while the engine has the id the loads were meant for; it refuses them otherwise, and no slot is kept free then.

--- a/packages/residency/include/residency/late_loads.h
+++ b/packages/residency/include/residency/late_loads.h
@@ -7,7 +7,6 @@
 #ifndef RESIDENCY_LATE_LOADS_H
 #define RESIDENCY_LATE_LOADS_H
 
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <time.h>
@@ -36,10 +35,11 @@
 /// @param orders    that the present incarnation has accepted.
 /// @param restarted when it was noticed. In the incarnation they were meant
 /// for, loads act only at a number that newer orders have passed.
-/// @return whether a load of a former incarnation could act now, or after one
-/// more order: a slot must stay free for it.
-bool
-CmLateLoads_Due(const struct cm_late_loads *late, int64_t orders,
-                struct timespec restarted, struct timespec now);
+/// @return slots that must stay free for loads of a former incarnation. Those
+/// that expect consecutive numbers act one after the other; what is further
+/// ahead leaves time for an unload an order (testing/model/orders.pml).
+int64_t
+CmLateLoads_Reserve(const struct cm_late_loads *late, int64_t orders,
+                    struct timespec restarted, struct timespec now);
 
 #endif
--- a/packages/residency/src/late_loads.c
+++ b/packages/residency/src/late_loads.c
@@ -3,6 +3,8 @@
 
 #include "residency/late_loads.h"
 
+#include <stdbool.h>
+
 #include "base/clock.h"
 
 void
@@ -13,20 +15,39 @@
         (struct cm_late_load){expect, now};
 }
 
-bool
-CmLateLoads_Due(const struct cm_late_loads *late, int64_t orders,
-                struct timespec restarted, struct timespec now)
+/// @return whether a load of a former incarnation expects `orders`.
+static bool
+is_expected(const struct cm_late_loads *late, int64_t orders,
+            struct timespec restarted, struct timespec now)
 {
     size_t n =
         late->count < CM_LATE_LOADS_MAX ? late->count : CM_LATE_LOADS_MAX;
     for (size_t i = 0; i < n; i++) {
         const struct cm_late_load *load = &late->loads[i];
-        int64_t ahead = load->expect - orders;
-        if ((ahead == 0 || ahead == 1) &&
-            CmTime_Before(load->noted, restarted) &&
+        if (load->expect == orders && CmTime_Before(load->noted, restarted) &&
             CmTime_DiffMs(now, load->noted) < CM_LATE_LOAD_MS) {
             return true;
         }
     }
     return false;
 }
+
+int64_t
+CmLateLoads_Reserve(const struct cm_late_loads *late, int64_t orders,
+                    struct timespec restarted, struct timespec now)
+{
+    int64_t reserve = 0;
+    for (int64_t ahead = 0; ahead <= CM_LATE_LOADS_MAX; ahead++) {
+        int64_t length = 0;
+        while (length < CM_LATE_LOADS_MAX &&
+               is_expected(late, orders + ahead + length, restarted, now)) {
+            length++;
+        }
+        // The next order is given now; each further one may be an unload.
+        int64_t unloads = ahead > 1 ? ahead - 1 : 0;
+        if (length - unloads > reserve) {
+            reserve = length - unloads;
+        }
+    }
+    return reserve;
+}
--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -45,6 +45,17 @@
     }
 }
 
+/// Notes which incarnation is there. Late loads for one with another id are
+/// refused by the engine.
+static void
+set_target(struct engine *engine, const char *target)
+{
+    replace_text(&engine->target, target);
+    if (g_strcmp0(engine->late_target, target) != 0) {
+        engine->late_loads.count = 0;
+    }
+}
+
 static bool
 on_head(void *context, const struct cm_h1_head *head)
 {
@@ -52,7 +63,7 @@
     slots->engine.status = head->status;
     const char *answering = CmEngineCodec_OtherTarget(head);
     if (answering != NULL) {
-        replace_text(&slots->engine.target, answering);
+        set_target(&slots->engine, answering);
         slots->engine.confirmed = true;
     }
     g_string_truncate(slots->engine.body, 0);
@@ -205,6 +216,7 @@
 {
     struct engine *engine = &slots->engine;
     if (what == ENGINE_ORDER && engine->order.load) {
+        replace_text(&engine->late_target, engine->target);
         CmLateLoads_Note(&engine->late_loads, engine->report.orders,
                          Slots_Now(slots));
     }
@@ -349,9 +361,10 @@
         return;
     }
     g_clear_pointer(&engine->order.adapter, g_free);
-    bool late = CmLateLoads_Due(&engine->late_loads, engine->report.orders,
-                                engine->restarted, Slots_Now(slots));
-    slots->residency.slots = slots->engine_slots - (late ? 1 : 0);
+    slots->residency.slots =
+        slots->engine_slots -
+        CmLateLoads_Reserve(&engine->late_loads, engine->report.orders,
+                            engine->restarted, Slots_Now(slots));
     if (may_order && engine->has_model &&
         CmResidency_NextOrder(&slots->residency, Slots_Now(slots),
                               &engine->order)) {
@@ -408,6 +421,7 @@
     g_free(engine->order.adapter);
     g_free(engine->model);
     g_free(engine->target);
+    g_free(engine->late_target);
 }
 
 void
@@ -422,7 +436,7 @@
     struct engine *engine = &slots->engine;
     replace_text(&engine->model, model);
     if (!engine->confirmed) {
-        replace_text(&engine->target, target);
+        set_target(engine, target);
     }
     if (!engine->has_model) {
         next_step(slots);
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -50,6 +50,7 @@
     bool stale;   ///< an order was given since the last report
     int failures; ///< in a row
     struct cm_late_loads late_loads;
+    char *late_target;         ///< incarnation they were meant for
     struct timespec restarted; ///< when another incarnation was noticed
     int64_t fence;
     char *model;    ///< that gateways want loaded, or NULL
