feat(gateway): no wait beyond what callers bear; Retry-After from what is ahead

Change: callers leave a stream that has not begun after the longest of 2 s, four times its target latency and eight times its gap; an agent says busy, and no lease is waited for, beyond what is left of that, and the request is refused at once. Retry-After is the least wait that agents told, within 150 ms to 1.2 s, spread by half. Requests wait for starting engines only if those have been starting for less than 1.5 s.

--- a/packages/dispatch/include/dispatch/catalog.h
+++ b/packages/dispatch/include/dispatch/catalog.h
@@ -32,6 +32,11 @@
 const char *
 CmRoute_Service(const struct cm_route *route, double draw);
 
+/// @return time without an event after which callers leave a stream of the
+/// route, in ms; what would begin later is worth nothing to them.
+int64_t
+CmRoute_PatienceMs(const struct cm_route *route);
+
 /// @return the service called `name`, or NULL.
 const struct cm_service_spec *
 CmCatalog_Service(const struct cm_catalog *catalog, const char *name);
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -61,8 +61,9 @@
     bool same_zone;
     bool draining;
     bool has_model;
-    bool asked_for_model; ///< its agent is being asked
-    bool listed;          ///< seen in the list that is being read
+    struct timespec starting_since; ///< seen without its model
+    bool asked_for_model;           ///< its agent is being asked
+    bool listed;                    ///< seen in the list that is being read
     int64_t slots;
     int64_t started_ms;
     int references; ///< the table and each attempt
--- a/packages/dispatch/src/catalog.c
+++ b/packages/dispatch/src/catalog.c
@@ -6,6 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/// Callers leave a stream after a gap of the longest of these; the platform's
+/// page on requests.
+#define PATIENCE_MIN_MS 2000
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS 8
+
 struct cm_catalog *
 CmCatalog_New(size_t n_routes, size_t n_services)
 {
@@ -112,6 +118,14 @@
     return route->splits[route->n_splits - 1].service;
 }
 
+int64_t
+CmRoute_PatienceMs(const struct cm_route *route)
+{
+    int64_t patience =
+        MAX(PATIENCE_MIN_MS, route->target_ms * PATIENCE_TARGETS);
+    return MAX(patience, route->gap_ms * PATIENCE_GAPS);
+}
+
 const struct cm_service_spec *
 CmCatalog_Service(const struct cm_catalog *catalog, const char *name)
 {
--- a/packages/dispatch/tests/decisions_test.c
+++ b/packages/dispatch/tests/decisions_test.c
@@ -9,6 +9,7 @@
 #include "dispatch/catalog.h"
 #include "dispatch/events.h"
 #include "dispatch/life.h"
+#include "dispatch/retry_after.h"
 
 static struct cm_catalog *
 sample_catalog(void)
@@ -63,6 +64,39 @@
     CmCatalog_Unref(catalog);
 }
 
+static void
+test_patience(void)
+{
+    static const struct {
+        int64_t target_ms;
+        int64_t gap_ms;
+        int64_t patience_ms;
+    } cases[] = {{100, 100, 2000}, {800, 300, 3200}, {800, 500, 4000}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_route route = {.target_ms = cases[i].target_ms,
+                                 .gap_ms = cases[i].gap_ms};
+        CU_ASSERT_EQUAL(CmRoute_PatienceMs(&route), cases[i].patience_ms);
+    }
+}
+
+/// Refused callers come back when the wait is over, spread out.
+static void
+test_retry_after(void)
+{
+    static const struct {
+        int64_t ahead_ms;
+        int64_t first_ms;
+        int64_t last_ms;
+    } cases[] = {
+        {0, 150, 400}, {100, 150, 400}, {600, 600, 900}, {9000, 1200, 1800}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(CmRetryAfter_Ms(cases[i].ahead_ms, 0),
+                        cases[i].first_ms);
+        CU_ASSERT_EQUAL(CmRetryAfter_Ms(cases[i].ahead_ms, 1),
+                        cases[i].last_ms);
+    }
+}
+
 static void
 test_splits(void)
 {
@@ -318,6 +352,8 @@
 }
 
 static const struct cm_test tests[] = {
+    {"when refused callers come back", test_retry_after},
+    {"how long callers wait", test_patience},
     {"routes", test_routes},
     {"splits", test_splits},
     {"budget in every window", test_budget_in_every_window},
--- a/programs/coriandermoor/gateway/answers.c
+++ b/programs/coriandermoor/gateway/answers.c
@@ -7,13 +7,10 @@
 #include <inttypes.h>
 
 #include "base/log.h"
+#include "dispatch/retry_after.h"
 #include "h1/writer.h"
 #include "request.h"
 
-/// When callers may come back after a refusal: from, and spread over.
-#define RETRY_AFTER_MS 150
-#define RETRY_SPREAD_MS 250
-
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 
@@ -49,8 +46,8 @@
 static int64_t
 retry_after_ms(struct request *request)
 {
-    return RETRY_AFTER_MS +
-           g_rand_int_range(request->gateway->random, 0, RETRY_SPREAD_MS);
+    return CmRetryAfter_Ms(request->ahead_told_ms,
+                           g_rand_double(request->gateway->random));
 }
 
 /// Answers with a status of the gateway's own.
--- a/programs/coriandermoor/gateway/feeds.c
+++ b/programs/coriandermoor/gateway/feeds.c
@@ -111,6 +111,7 @@
         return;
     }
     if (known != target) {
+        target->starting_since = Gateway_Now(gateway);
         CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
                     "%s of %s at %s in %s is new", name, info.service,
                     info.address, info.zone);
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -51,6 +51,7 @@
     CmTarget_Reported(lease->target, reply.running, reply.waiting, now);
     if (reply.outcome == CM_LEASE_OUTCOME_DOWN && reply.lacks_model == 1) {
         lease->target->has_model = false;
+        lease->target->starting_since = now;
     }
     if (reply.outcome != CM_LEASE_OUTCOME_BUSY) {
         CmTarget_SetHolds(lease->target, request->asked.adapter, held, now);
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -21,6 +21,8 @@
 /// as it is.
 #define AHEAD_MAX_MS 150
 #define BUSY_ASKS_MAX 3
+/// Time from a grant to the first event at an engine that is not busy.
+#define BEGIN_MS 150
 /// Longest wait for engines that are starting, and the time between looks:
 /// a model comes from its engine's disk within one or two seconds.
 #define PARK_MAX_MS 1500
@@ -51,16 +53,36 @@
         pick->candidates);
 }
 
+/// @return time left in which the request may begin for its caller to be still
+/// there.
+static int64_t
+useful_left_ms(const struct request *request)
+{
+    int64_t since_ms =
+        Request_SinceArrivalMs(request, Gateway_Now(request->gateway));
+    int64_t patience_ms = CmRoute_PatienceMs(request->route) - since_ms;
+    return MIN(Request_LeftMs(request), patience_ms) - BEGIN_MS;
+}
+
+/// @return whether no other engine is asked if this one says busy: it is the
+/// best although it said so, or enough others did.
+static bool
+is_last_ask(const struct request *request, const struct cm_live_target *target)
+{
+    return request->busy_asks >= BUSY_ASKS_MAX || target == request->busy_last;
+}
+
 /// @return how long the wait at the engine may be. An engine that is best
 /// although it said busy is taken as it is, and so is any after a few asks.
 static int64_t
 ahead_max_ms(const struct request *request,
              const struct cm_live_target *target)
 {
-    if (request->busy_asks >= BUSY_ASKS_MAX || target == request->busy_last) {
-        return INT64_MAX;
+    int64_t useful_ms = useful_left_ms(request);
+    if (is_last_ask(request, target)) {
+        return useful_ms;
     }
-    return AHEAD_MAX_MS * (1 + request->busy_asks);
+    return MIN(AHEAD_MAX_MS * (1 + request->busy_asks), useful_ms);
 }
 
 /// Asks for the adapter at the best engine.
@@ -84,8 +106,10 @@
         }
         else {
             log_choice(request, &pick);
-            int64_t wait_ms = MIN(LEASE_WAIT_MS, Request_LeftMs(request));
+            int64_t wait_ms =
+                MIN(LEASE_WAIT_MS, MAX(useful_left_ms(request), 1));
             request->phase = REQUEST_LEASING;
+            request->last_ask = is_last_ask(request, pick.target);
             if (Lease_Ask(request, pick.target, wait_ms,
                           ahead_max_ms(request, pick.target))) {
                 Request_SetTimer(request, wait_ms + LEASE_GRACE_MS);
@@ -103,13 +127,17 @@
 static bool
 engines_start(const struct request *request)
 {
+    struct timespec now = Gateway_Now(request->gateway);
     size_t starting = 0;
     size_t usable = 0;
     const struct cm_live_target *target;
     CmList_FOREACH (target, &request->gateway->targets.list, link) {
         if (!target->draining &&
             strcmp(target->service, request->service) == 0) {
-            starting += !target->has_model;
+            // One that takes longer has no copy of its model.
+            starting +=
+                !target->has_model &&
+                CmTime_DiffMs(now, target->starting_since) < PARK_MAX_MS;
             usable += target->has_model;
         }
     }
@@ -181,11 +209,24 @@
     Request_SendTo(request, target);
 }
 
+/// Remembers the least wait of the engines that were asked.
+static void
+note_ahead(struct request *request, const struct cm_live_target *target)
+{
+    int64_t ahead_ms =
+        target->told.slot_wait_ms +
+        (int64_t)CmTarget_BacklogMs(target, Gateway_Now(request->gateway));
+    if (request->ahead_told_ms == 0 || ahead_ms < request->ahead_told_ms) {
+        request->ahead_told_ms = ahead_ms;
+    }
+}
+
 void
 Request_NotLeased(struct request *request, const char *why)
 {
     struct cm_live_target *target = request->lease.target;
-    if (request->lease.busy) {
+    note_ahead(request, target);
+    if (request->lease.busy && !request->last_ask) {
         // Picks again, with what the agent has just told.
         request->lease.busy = false;
         request->busy_asks++;
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -65,6 +65,8 @@
     int sends;
     int busy_asks; ///< agents that said busy since the last send
     struct cm_live_target *busy_last; ///< the last of them, not owned
+    bool last_ask;         ///< an agent that says busy now is given up
+    int64_t ahead_told_ms; ///< least wait that an agent told; 0 for none
     bool unread; ///< the caller has left too much of its stream unread
     bool keep;   ///< the caller's connection stays open after the answer
 };
