fix(gateway): a stopping gateway serves what ends in time

Cause: a gateway that stops closed its listener after 2.3 s and waited up to 7.5 s for its last stream.

Change: the listener stays until nothing is in progress; new requests are served with 'Connection: close' if they end before the time of the stop is up (a plain one in twice its target latency, a stream in that and 20 ms a token), and refused otherwise.

--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -105,6 +105,11 @@
 bool
 Gateway_CanServe(const struct gateway *gateway);
 
+/// @return ms until a planned stop gives up what is in progress; INT64_MAX
+/// while none is under way.
+int64_t
+Gateway_StopLeftMs(const struct gateway *gateway);
+
 /// An agent tells how many gateways have asked it lately.
 void
 Gateway_HeardOfGateways(struct gateway *gateway, int64_t count);
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -27,8 +27,9 @@
 #define GATEWAYS_UNKNOWN 32
 /// Time for which the highest count heard of holds.
 #define GATEWAYS_HEARD_MS 10000
-/// After this time of a planned stop the balancer has taken this gateway out:
-/// idle connections are closed and new ones no longer accepted.
+/// After this time of a planned stop the balancer has taken this gateway out,
+/// unless no other is there: idle connections are closed, and the process ends
+/// once nothing is in progress.
 #define STOP_IDLE_MS 2300
 /// Left of the stop's time when what is still in progress is given up.
 #define STOP_MARGIN_MS 500
@@ -48,6 +49,17 @@
     return gateway->catalog != NULL && gateway->targets.count > 0;
 }
 
+int64_t
+Gateway_StopLeftMs(const struct gateway *gateway)
+{
+    if (!gateway->leaving) {
+        return INT64_MAX;
+    }
+    int64_t since_ms =
+        CmTime_DiffMs(Gateway_Now(gateway), gateway->leaving_since);
+    return gateway->settings.stop_s * MS_PER_S - STOP_MARGIN_MS - since_ms;
+}
+
 void
 Gateway_HeardOfGateways(struct gateway *gateway, int64_t count)
 {
@@ -104,15 +116,14 @@
     }
     int64_t since_ms =
         CmTime_DiffMs(Gateway_Now(gateway), gateway->leaving_since);
-    int64_t limit_ms = gateway->settings.stop_s * MS_PER_S - STOP_MARGIN_MS;
     if (since_ms >= STOP_IDLE_MS) {
-        CmH1Listener_Finish(&gateway->callers_listener);
         CallerConns_CloseIdle(gateway);
     }
-    if (since_ms >= limit_ms) {
+    if (Gateway_StopLeftMs(gateway) <= 0) {
         CallerConns_StopRequests(gateway);
     }
     if (since_ms >= STOP_IDLE_MS && gateway->n_requests == 0) {
+        CmH1Listener_Finish(&gateway->callers_listener);
         // What was answered last has still to leave the process.
         struct timeval linger = CmTime_Timeval(STOP_LINGER_MS);
         event_base_loopexit(gateway->base, &linger);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -22,6 +22,10 @@
 /// Silence of a plain target after which a repeatable request goes elsewhere,
 /// in times of the route's target latency.
 #define PLAIN_SILENCE_TARGETS 1.5
+/// Time that a request takes, on the long side: a plain one in times of its
+/// target latency; a stream that, and a slow step for each token.
+#define PLAIN_TARGETS 2
+#define TOKEN_MS 20
 /// Time that a stream may go on beyond its deadline before it is cut.
 #define STREAM_GRACE_MS 100
 /// Output that a caller has not read beyond which its stream is cut.
@@ -388,6 +392,17 @@
                      request->arrived);
 }
 
+/// @return time that serving the request takes, on the long side.
+static int64_t
+expected_ms(const struct request *request)
+{
+    const struct cm_route *route = request->route;
+    if (!route->stream) {
+        return route->target_ms * PLAIN_TARGETS;
+    }
+    return route->target_ms + MAX(request->asked.max_output, 0) * TOKEN_MS;
+}
+
 void
 Request_Start(struct caller *caller)
 {
@@ -427,6 +442,10 @@
         return;
     }
     init_life(request);
+    if (expected_ms(request) > Gateway_StopLeftMs(gateway)) {
+        Answer_Own(request, STATUS_UNAVAILABLE, "the gateway stops");
+        return;
+    }
     Request_Place(request);
 }
 
