fix(gateway): a stopping gateway takes only what cannot outlast it

Change: 2.5 s after the stop began only requests are taken whose own deadline lies before its end; no estimate.

--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -22,10 +22,9 @@
 /// Silence of a plain target after which a repeatable request goes elsewhere,
 /// in times of the route's target latency.
 #define PLAIN_SILENCE_TARGETS 1.5
-/// Time that a request takes, on the long side: a plain one in times of its
-/// target latency; a stream that, and a slow step for each token.
-#define PLAIN_TARGETS 2
-#define TOKEN_MS 20
+/// Time from the start of a planned stop within which any request is taken:
+/// callers know of the stop soon after, and their streams end in the rest.
+#define STOP_TAKES_MS 2500
 /// Time that a stream may go on beyond its deadline before it is cut.
 #define STREAM_GRACE_MS 100
 /// Output that a caller has not read beyond which its stream is cut.
@@ -392,15 +391,15 @@
                      request->arrived);
 }
 
-/// @return time that serving the request takes, on the long side.
-static int64_t
-expected_ms(const struct request *request)
+/// @return whether a planned stop leaves the request the time it may take.
+static bool
+fits_the_stop(const struct request *request)
 {
-    const struct cm_route *route = request->route;
-    if (!route->stream) {
-        return route->target_ms * PLAIN_TARGETS;
-    }
-    return route->target_ms + MAX(request->asked.max_output, 0) * TOKEN_MS;
+    const struct gateway *gateway = request->gateway;
+    int64_t since_ms =
+        CmTime_DiffMs(Gateway_Now(gateway), gateway->leaving_since);
+    return !gateway->leaving || since_ms < STOP_TAKES_MS ||
+           Request_LeftMs(request) < Gateway_StopLeftMs(gateway);
 }
 
 void
@@ -442,7 +441,7 @@
         return;
     }
     init_life(request);
-    if (expected_ms(request) > Gateway_StopLeftMs(gateway)) {
+    if (!fits_the_stop(request)) {
         Answer_Own(request, STATUS_UNAVAILABLE, "the gateway stops");
         return;
     }
