feat(dispatch): wait only as long as an answer can be on time; replay bench

Load pattern: twice what engines can serve.

Change: dispatch/asking (out of placing.c, pure): the last agent asked takes a request only if it can be on time, or begins at once if it is late already. testing/replay plays load patterns in simulated time (bursts, lost engines, moved popularity, callers that leave, twice the load) against the gateways' and agents' decisions with a small model of engines and the weight store, and compares with simpler policies: build/replay, and replay_test in make test.

--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -1,6 +1,7 @@
 /// @file pick_test.c
 /// Placing: each case is one load pattern.
 
+#include "dispatch/asking.h"
 #include "dispatch/pick.h"
 
 #include <stdio.h>
@@ -166,6 +167,42 @@
     }
 }
 
+/// From one agent to the next longer waits are accepted, never beyond what can
+/// be on time, or beyond what begins at once if it is late already, or beyond
+/// what its caller bears.
+static void
+test_asking(void)
+{
+    static const struct {
+        const char *pattern;
+        int busy;       ///< agents that said so
+        bool last_busy; ///< the one that is asked now was the last of them
+        struct cm_time_left left;
+        int64_t ahead_max_ms;
+    } cases[] = {
+        {"the first", 0, false, {650, 3000}, 150},
+        {"the second", 1, false, {650, 3000}, 300},
+        {"the last", 3, false, {650, 3000}, 650},
+        {"the best although busy", 1, true, {650, 3000}, 650},
+        {"hardly on time", 3, false, {200, 2500}, 200},
+        {"late already", 3, false, {-700, 1700}, 150},
+        {"its caller is nearly gone", 3, false, {-2900, 40}, 40},
+        {"too late", 0, false, {-3100, -100}, -100},
+    };
+    struct cm_live_target target;
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_asking asking = {0};
+        for (int b = 0; b < cases[i].busy; b++) {
+            CmAsking_Busy(&asking, cases[i].last_busy ? &target : NULL);
+        }
+        int64_t most = CmAsking_AheadMaxMs(&asking, &target, &cases[i].left);
+        if (most != cases[i].ahead_max_ms) {
+            printf("\n%s: %d\n", cases[i].pattern, (int)most);
+        }
+        CU_ASSERT_EQUAL(most, cases[i].ahead_max_ms);
+    }
+}
+
 /// Thousands of engines: a pick weighs a bounded number, finds the holder
 /// wherever it is, and the first engines of adapters spread.
 static void
@@ -349,6 +386,7 @@
 }
 
 static const struct cm_test tests[] = {
+    {"one agent after the other", test_asking},
     {"holders are filled in order", test_holders_are_filled_in_order},
     {"one of two engines", test_one_of_two},
     {"first engines", test_homes},
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -16,11 +16,6 @@
 #define LEASE_WAIT_MS 2000
 /// Added for the agent's answer to arrive.
 #define LEASE_GRACE_MS 100
-/// Wait at an engine (prompts to be read, slots in use) that is accepted
-/// without a look at others, and agents that may say busy before one is taken
-/// as it is.
-#define AHEAD_MAX_MS 150
-#define BUSY_ASKS_MAX 3
 /// Time from a grant to the first event at an engine that is not busy.
 #define BEGIN_MS 150
 /// Longest wait for engines that are starting, and the time between looks:
@@ -53,36 +48,17 @@
         pick->candidates);
 }
 
-/// @return time left in which the request may begin for its caller to be still
-/// there.
-static int64_t
-useful_left_ms(const struct request *request)
+static struct cm_time_left
+time_left(const struct request *request)
 {
+    const struct cm_route *route = request->route;
     int64_t since_ms =
         Request_SinceArrivalMs(request, Gateway_Now(request->gateway));
-    int64_t patience_ms = CmRoute_PatienceMs(request->route) - since_ms;
-    return MIN(Request_LeftMs(request), patience_ms) - BEGIN_MS;
-}
-
-/// @return whether no other engine is asked if this one says busy: it is the
-/// best although it said so, or enough others did.
-static bool
-is_last_ask(const struct request *request, const struct cm_live_target *target)
-{
-    return request->busy_asks >= BUSY_ASKS_MAX || target == request->busy_last;
-}
-
-/// @return how long the wait at the engine may be. An engine that is best
-/// although it said busy is taken as it is, and so is any after a few asks.
-static int64_t
-ahead_max_ms(const struct request *request,
-             const struct cm_live_target *target)
-{
-    int64_t useful_ms = useful_left_ms(request);
-    if (is_last_ask(request, target)) {
-        return useful_ms;
-    }
-    return MIN(AHEAD_MAX_MS * (1 + request->busy_asks), useful_ms);
+    int64_t patience_ms = CmRoute_PatienceMs(route) - since_ms;
+    return (struct cm_time_left){
+        .on_time_ms = route->target_ms - since_ms - BEGIN_MS,
+        .useful_ms = MIN(Request_LeftMs(request), patience_ms) - BEGIN_MS,
+    };
 }
 
 /// Asks for the adapter at the best engine.
@@ -106,12 +82,13 @@
         }
         else {
             log_choice(request, &pick);
-            int64_t wait_ms =
-                MIN(LEASE_WAIT_MS, MAX(useful_left_ms(request), 1));
+            struct cm_time_left left = time_left(request);
+            int64_t wait_ms = MIN(LEASE_WAIT_MS, MAX(left.useful_ms, 1));
             request->phase = REQUEST_LEASING;
-            request->last_ask = is_last_ask(request, pick.target);
+            request->last_ask = CmAsking_IsLast(&request->asking, pick.target);
             if (Lease_Ask(request, pick.target, wait_ms,
-                          ahead_max_ms(request, pick.target))) {
+                          CmAsking_AheadMaxMs(&request->asking, pick.target,
+                                              &left))) {
                 Request_SetTimer(request, wait_ms + LEASE_GRACE_MS);
                 return true;
             }
@@ -229,8 +206,7 @@
     if (request->lease.busy && !request->last_ask) {
         // Picks again, with what the agent has just told.
         request->lease.busy = false;
-        request->busy_asks++;
-        request->busy_last = target;
+        CmAsking_Busy(&request->asking, target);
         Lease_Release(request);
         Request_Place(request);
         return;
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -6,6 +6,7 @@
 
 #include "call_codec.h"
 #include "caller_conns.h"
+#include "dispatch/asking.h"
 #include "dispatch/events.h"
 #include "dispatch/life.h"
 #include "dispatch/pick.h"
@@ -63,8 +64,7 @@
     struct cm_live_target *tried[CM_TRIED_MAX];
     size_t n_tried;
     int sends;
-    int busy_asks; ///< agents that said busy since the last send
-    struct cm_live_target *busy_last; ///< the last of them, not owned
+    struct cm_asking asking;
     bool last_ask;         ///< an agent that says busy now is given up
     int64_t ahead_told_ms; ///< least wait that an agent told; 0 for none
     bool unread; ///< the caller has left too much of its stream unread
--- /dev/null
+++ b/testing/replay/policies.c
@@ -0,0 +1,99 @@
+/// @file policies.c
+/// How engines are chosen: the gateways' way, and simpler ones.
+
+#include "replay.h"
+
+#include "base/hash.h"
+
+static bool
+may_take(const struct cm_live_target *target,
+         const struct cm_pick_request *request)
+{
+    for (size_t i = 0; i < request->n_tried; i++) {
+        if (request->tried[i] == target) {
+            return false;
+        }
+    }
+    return !target->draining && target->has_model;
+}
+
+/// Takes the target with the lowest `cost`.
+static void
+pick_lowest(struct cm_targets *targets, const struct cm_pick_request *request,
+            double (*cost)(const struct cm_live_target *target,
+                           const struct cm_pick_request *request,
+                           struct timespec now),
+            struct timespec now, struct cm_pick *pick)
+{
+    *pick = (struct cm_pick){0};
+    struct cm_live_target *target;
+    CmList_FOREACH (target, &targets->list, link) {
+        if (!may_take(target, request)) {
+            continue;
+        }
+        double costs = cost(target, request, now);
+        if (pick->target == NULL || costs < pick->cost_ms) {
+            pick->target = target;
+            pick->cost_ms = costs;
+        }
+    }
+}
+
+/// An adapter's first engine, whatever its load (rendezvous hashing).
+static double
+home_cost(const struct cm_live_target *target,
+          const struct cm_pick_request *request, struct timespec now)
+{
+    return -(double)CmHash_Bytes(&target->hash, sizeof(target->hash),
+                                 CmHash_Text(request->adapter, 1));
+}
+
+static void
+pick_home(struct cm_targets *targets, const struct cm_pick_request *request,
+          struct timespec now, struct cm_pick *pick)
+{
+    pick_lowest(targets, request, home_cost, now, pick);
+}
+
+/// The engine with the least load, whatever it holds.
+static double
+load_cost(const struct cm_live_target *target,
+          const struct cm_pick_request *request, struct timespec now)
+{
+    return CmTarget_BacklogMs(target, now) + CmTarget_Load(target, now);
+}
+
+static void
+pick_least_loaded(struct cm_targets *targets,
+                  const struct cm_pick_request *request, struct timespec now,
+                  struct cm_pick *pick)
+{
+    pick_lowest(targets, request, load_cost, now, pick);
+}
+
+/// A holder if there is one, the least loaded of them; else the least loaded
+/// engine.
+static double
+holder_cost(const struct cm_live_target *target,
+            const struct cm_pick_request *request, struct timespec now)
+{
+    const struct cm_copy *copy = CmTarget_Copy(target, request->adapter);
+    bool held = copy != NULL && copy->held;
+    return load_cost(target, request, now) + (held ? 0 : 1e6);
+}
+
+static void
+pick_holder(struct cm_targets *targets, const struct cm_pick_request *request,
+            struct timespec now, struct cm_pick *pick)
+{
+    pick_lowest(targets, request, holder_cost, now, pick);
+}
+
+const struct policy policies[] = {
+    {"gateway", CmPick_Engine},
+    {"home", pick_home},
+    {"holder", pick_holder},
+    {"least loaded", pick_least_loaded},
+};
+
+const size_t n_policies = sizeof(policies) / sizeof(policies[0]);
--- /dev/null
+++ b/testing/replay/replay_main.c
@@ -0,0 +1,25 @@
+/// @file replay_main.c
+/// Plays all load patterns with all policies and prints a table.
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "replay.h"
+
+int
+main(void)
+{
+    printf("%-34s %-13s %6s %8s %6s %8s %6s %8s %9s\n", "pattern", "policy",
+           "worth", "on time", "late", "refused", "left", "fetched",
+           "wait p95");
+    for (size_t p = 0; p < n_patterns; p++) {
+        for (size_t i = 0; i < n_policies; i++) {
+            struct replay_result r = Replay_Play(&patterns[p], &policies[i]);
+            printf("%-34s %-13s %6.3f %8d %6d %8d %6d %8d %6.0f ms\n",
+                   patterns[p].name, policies[i].name, Replay_Worth(&r),
+                   r.on_time, r.late, r.refused, r.left, r.fetched,
+                   r.wait_p95_ms);
+        }
+    }
+    return EXIT_SUCCESS;
+}
