fix(agent): calls of gateways don't put reports off

Each call of a gateway set the timer of the next report anew; 30 gateways that ask for a starting engine's model every 200 ms put the report off for ever, and the agent went on to believe that the load was under way. The same in small under load: a release every 36 ms against reports every 20 to 60 ms.

Change: the next report is planned from the last one. While the engine does not answer, the pause after the failure holds. Where gateways name another incarnation than before, nothing is granted until a report has been read, and that is read at once. An engine counts as starting for 3 s in placing (its load is asked for up to a second after it is listed), and who waited for engines to start is not turned away for being late (starting_engines failed 1 in 5 since waits are bounded, traced to both).

--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -50,6 +50,9 @@
 static void
 set_target(struct engine *engine, const char *target)
 {
+    // What was seen before may be the former incarnation's.
+    engine->unseen = engine->unseen || (engine->target != NULL &&
+                                        strcmp(engine->target, target) != 0);
     replace_text(&engine->target, target);
     if (g_strcmp0(engine->late_target, target) != 0) {
         engine->late_loads.count = 0;
@@ -146,6 +149,8 @@
         engine->no_model_until = (struct timespec){0};
     }
     engine->known = true;
+    engine->reported = Slots_Now(slots);
+    engine->unseen = false;
     engine->failures = 0;
     engine->stale = false;
     Gateways_Measure(slots);
@@ -342,6 +347,37 @@
            !CmTime_Before(Slots_Now(slots), engine->no_model_until);
 }
 
+/// @return pause between two reports.
+static int64_t
+report_pause_ms(const struct slots *slots)
+{
+    if (CmResidency_Busy(&slots->residency) || !slots->engine.has_model) {
+        return REPORT_BUSY_MS;
+    }
+    return g_hash_table_size(slots->claims) > 0 ? REPORT_RUNS_MS
+                                                : REPORT_IDLE_MS;
+}
+
+/// Sets the time of the next report, counted from the last one: calls of
+/// gateways come more often than reports and must not put them off.
+static void
+plan_report(struct slots *slots)
+{
+    int64_t since_ms = CmTime_DiffMs(Slots_Now(slots), slots->engine.reported);
+    set_timer(slots, MAX(report_pause_ms(slots) - since_ms, 0));
+}
+
+/// Reads a report at once, unless one has just been read.
+static void
+look_soon(struct slots *slots)
+{
+    struct engine *engine = &slots->engine;
+    if (engine->under_way == ENGINE_IDLE && engine->known) {
+        int64_t since_ms = CmTime_DiffMs(Slots_Now(slots), engine->reported);
+        set_timer(slots, MAX(REPORT_BUSY_MS - since_ms, 0));
+    }
+}
+
 /// Gives the next order, or sets the time of the next report.
 static void
 next_step(struct slots *slots)
@@ -350,7 +386,11 @@
     if (engine->under_way != ENGINE_IDLE) {
         return;
     }
-    if (!engine->known || engine->stale) {
+    if (!engine->known) {
+        // The engine does not answer: the pause after the failure holds.
+        return;
+    }
+    if (engine->stale) {
         set_timer(slots, 0);
         return;
     }
@@ -371,15 +411,7 @@
         order_adapter(slots);
         return;
     }
-    if (CmResidency_Busy(&slots->residency) || !engine->has_model) {
-        set_timer(slots, REPORT_BUSY_MS);
-    }
-    else if (g_hash_table_size(slots->claims) > 0) {
-        set_timer(slots, REPORT_RUNS_MS);
-    }
-    else {
-        set_timer(slots, REPORT_IDLE_MS);
-    }
+    plan_report(slots);
 }
 
 static void
@@ -438,14 +470,20 @@
     if (!engine->confirmed) {
         set_target(engine, target);
     }
-    if (!engine->has_model) {
+    bool meant = strcmp(engine->target, target) == 0;
+    if (engine->unseen || !meant) {
+        // Another incarnation may be there: the next report tells.
+        look_soon(slots);
+    }
+    else if (!engine->has_model) {
         next_step(slots);
     }
-    return strcmp(engine->target, target) == 0;
+    return meant;
 }
 
 bool
 Engine_Serves(const struct slots *slots)
 {
-    return slots->engine.known && slots->engine.has_model;
+    return slots->engine.known && slots->engine.has_model &&
+           !slots->engine.unseen;
 }
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -44,8 +44,10 @@
     struct event *timer; ///< next report, or the end of patience
     struct cm_residency_order order;
     struct cm_engine_report report;
-    GHashTable *runs; ///< request id to struct engine_run
-    bool known;       ///< a report has been had, and the last one succeeded
+    GHashTable *runs;         ///< request id to struct engine_run
+    struct timespec reported; ///< when the last report came
+    bool unseen; ///< no report since another incarnation was named
+    bool known;  ///< a report has been had, and the last one succeeded
     bool has_model;
     bool stale;   ///< an order was given since the last report
     int failures; ///< in a row
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -22,6 +22,9 @@
 /// a model comes from its engine's disk within one or two seconds.
 #define PARK_MAX_MS 1500
 #define PARK_STEP_MS 100
+/// Time from an engine's entry in the list until it has its model from its
+/// own copies: up to a second until its agent is asked, and up to two.
+#define STARTING_MAX_MS 3000
 
 static bool
 agent_is_down(const struct request *request,
@@ -55,10 +58,15 @@
     int64_t since_ms =
         Request_SinceArrivalMs(request, Gateway_Now(request->gateway));
     int64_t patience_ms = CmRoute_PatienceMs(route) - since_ms;
-    return (struct cm_time_left){
+    struct cm_time_left left = {
         .on_time_ms = route->target_ms - since_ms - BEGIN_MS,
         .useful_ms = MIN(Request_LeftMs(request), patience_ms) - BEGIN_MS,
     };
+    // Who waited for engines to start is not turned away for being late.
+    if (request->parked) {
+        left.on_time_ms = left.useful_ms;
+    }
+    return left;
 }
 
 /// Asks for the adapter at the best engine.
@@ -114,7 +122,7 @@
             // One that takes longer has no copy of its model.
             starting +=
                 !target->has_model &&
-                CmTime_DiffMs(now, target->starting_since) < PARK_MAX_MS;
+                CmTime_DiffMs(now, target->starting_since) < STARTING_MAX_MS;
             usable += target->has_model;
         }
     }
@@ -138,6 +146,7 @@
                     "waits: engines of %s are starting", request->service);
     }
     request->phase = REQUEST_PARKED;
+    request->parked = true;
     // Those that were down may be back by then.
     Request_ForgetTried(request);
     Request_SetTimer(request, PARK_STEP_MS);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -65,6 +65,7 @@
     size_t n_tried;
     int sends;
     struct cm_asking asking;
+    bool parked;           ///< it has waited for engines to start
     bool last_ask;         ///< an agent that says busy now is given up
     int64_t ahead_told_ms; ///< least wait that an agent told; 0 for none
     bool unread; ///< the caller has left too much of its stream unread
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -296,6 +296,7 @@
 
     async def start(self, model=True):
         self.models = [self.MODEL] if model else []
+        self.loading_model = False
         self.adapters, self.incoming, self.using = {}, {}, {}
         self.orders = 0
         await super().start()
@@ -312,7 +313,8 @@
         return entry
 
     def report(self):
-        return {"stage": "colocated", "models": self.listed(), "busy": False,
+        return {"stage": "colocated", "models": self.listed(),
+                "busy": self.loading_model,
                 "seq": self.orders, "queued": 0, "running": self.running,
                 "born": self.born, "state": "ready",
                 "incoming": [f"{self.MODEL}/{a}@{v}"
@@ -372,9 +374,11 @@
 
     async def load_model(self):
         incarnation = self.id
+        self.loading_model = True
         await asyncio.sleep(self.model_load_s)
         if incarnation == self.id:
             self.models = [self.MODEL]
+            self.loading_model = False
 
     async def load(self, adapter, version):
         incarnation = self.id
