fix(agent): late loads are forgotten by no rumour

Cause: found on reading the diff: what a single gateway with an old list names as the engine's incarnation dropped the late loads that were remembered, also if the engine has the old id after all.

Change: they stay, and slots are kept free while the engine is believed to have the id that they name.

--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -45,8 +45,7 @@
     }
 }
 
-/// Notes which incarnation is there. Late loads for one with another id are
-/// refused by the engine.
+/// Notes which incarnation is there.
 static void
 set_target(struct engine *engine, const char *target)
 {
@@ -54,9 +53,6 @@
     engine->unseen = engine->unseen || (engine->target != NULL &&
                                         strcmp(engine->target, target) != 0);
     replace_text(&engine->target, target);
-    if (g_strcmp0(engine->late_target, target) != 0) {
-        engine->late_loads.count = 0;
-    }
 }
 
 static bool
@@ -378,6 +374,19 @@
     }
 }
 
+/// @return slots kept free for late loads; an engine with another id than they
+/// name refuses them.
+static int64_t
+reserved_slots(const struct slots *slots)
+{
+    const struct engine *engine = &slots->engine;
+    if (g_strcmp0(engine->late_target, engine->target) != 0) {
+        return 0;
+    }
+    return CmLateLoads_Reserve(&engine->late_loads, engine->report.orders,
+                               engine->restarted, Slots_Now(slots));
+}
+
 /// Gives the next order, or sets the time of the next report.
 static void
 next_step(struct slots *slots)
@@ -401,10 +410,7 @@
         return;
     }
     g_clear_pointer(&engine->order.adapter, g_free);
-    slots->residency.slots =
-        slots->engine_slots -
-        CmLateLoads_Reserve(&engine->late_loads, engine->report.orders,
-                            engine->restarted, Slots_Now(slots));
+    slots->residency.slots = slots->engine_slots - reserved_slots(slots);
     if (may_order && engine->has_model &&
         CmResidency_NextOrder(&slots->residency, Slots_Now(slots),
                               &engine->order)) {
