fix(dispatch): only engines of the request's service are weighed

Cause: found on reading the diff. Since a pick starts from those that have the adapter, an engine of another service that serves the same model could be chosen, and a request run where no configuration allows it.

Change: a candidate must be of the request's service.

Measured: pick_test 'another service with the adapter' failed before and passes.

--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -73,6 +73,8 @@
 {
     return target->pick != pick && !target->draining &&
            (target->has_model || !request->needs_model) &&
+           // Those with the adapter may be another service's.
+           strcmp(target->service, request->service) == 0 &&
            !was_tried(request, target);
 }
 
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -252,6 +252,33 @@
     CmTargets_Finish(&targets);
 }
 
+/// Two services serve the same model: an engine of the other one is never
+/// chosen, although it holds the adapter.
+static void
+test_service_with_the_same_adapter(void)
+{
+    struct cm_targets targets;
+    CmTargets_Init(&targets, "a", 7000);
+    struct cm_target_info other = {.id = "other",
+                                   .service = "t",
+                                   .address = "10.9.9.9:80",
+                                   .zone = "a",
+                                   .slots = 64,
+                                   .has_model = true};
+    struct cm_live_target *holder = CmTargets_Update(&targets, &other);
+    CmTarget_SetHolds(holder, "m/x", true, now());
+    struct cm_pick_request request = {
+        .service = "s", .adapter = "m/x", .needs_model = true};
+    struct cm_pick pick;
+    CmPick_Engine(&targets, &request, now(), &pick);
+    CU_ASSERT_PTR_NULL(pick.target);
+    struct engine_state idle = {0};
+    struct cm_live_target *engine = add_engine(&targets, 0, &idle);
+    CmPick_Engine(&targets, &request, now(), &pick);
+    CU_ASSERT_PTR_EQUAL(pick.target, engine);
+    CmTargets_Finish(&targets);
+}
+
 /// Nothing usable near the adapter's place: the others are found.
 static void
 test_window_moves_on(void)
@@ -391,6 +418,7 @@
     {"one of two engines", test_one_of_two},
     {"first engines", test_homes},
     {"many engines", test_many_engines},
+    {"another service with the adapter", test_service_with_the_same_adapter},
     {"a window without use", test_window_moves_on},
     {"plain services", test_plain},
     {"the platform's list", test_list},
