fix(dispatch): holders elsewhere are not taken for first engines

Cause: found on reading the change as a whole. Since picks weigh a window and the holders, an adapter's first engines were sought among both, so that gateways that know of different holders disagreed on them: for 10 of 40 adapters with every third of 72 engines a holder.

Change: the window is collected first, and only it is searched for first engines; holders outside are weighed as such.

Measured: pick_test 'first engines, whoever holds' failed before (10 of 40) and passes; replay_test passes.

--- a/packages/dispatch/include/dispatch/pick.h
+++ b/packages/dispatch/include/dispatch/pick.h
@@ -8,7 +8,7 @@
 
 /// Most targets that one request may try.
 #define CM_TRIED_MAX 6
-/// Targets of a service that one pick weighs besides those that have the
+/// Targets of a service that one pick weighs, besides others that have the
 /// adapter: enough that some of them are idle while the whole is not full, and
 /// few enough that a pick costs about the same for 18 and for 5,400 engines.
 #define CM_PICK_WINDOW 24
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -64,6 +64,7 @@
 struct candidates {
     struct cm_live_target *targets[CM_PICK_WINDOW + CM_PICK_HOLDERS];
     size_t n;
+    size_t n_window; ///< the first ones, the same for all gateways
 };
 
 /// @return whether `target` can be weighed and is not yet.
@@ -95,8 +96,8 @@
     }
 }
 
-/// Collects what one pick weighs: those that have the adapter, and a window of
-/// the service's others, so that a pick costs the same however many targets
+/// Collects what one pick weighs: a window of the service's targets, and those
+/// that have the adapter, so that a pick costs the same however many targets
 /// there are. For an adapter the window begins at its place among the hashes,
 /// for all gateways alike; otherwise anywhere.
 static void
@@ -112,16 +113,17 @@
     if (service == NULL) {
         return;
     }
+    uint64_t place = adapter != NULL ? CmHash_Text(adapter, 0)
+                                     : CmHash_Bytes(&pick, sizeof(pick), 0);
+    add_candidates(candidates, service, CmTargetIndex_Place(service, place),
+                   CM_PICK_WINDOW, request, pick);
+    candidates->n_window = candidates->n;
     const GPtrArray *holders =
         adapter != NULL ? CmTargetIndex_WithCopy(&targets->index, adapter)
                         : NULL;
     if (holders != NULL) {
         add_candidates(candidates, holders, 0, CM_PICK_HOLDERS, request, pick);
     }
-    uint64_t place = adapter != NULL ? CmHash_Text(adapter, 0)
-                                     : CmHash_Bytes(&pick, sizeof(pick), 0);
-    add_candidates(candidates, service, CmTargetIndex_Place(service, place),
-                   CM_PICK_WINDOW, request, pick);
 }
 
 static bool
@@ -237,8 +239,11 @@
     for (size_t i = 0; i < candidates->n; i++) {
         const struct cm_live_target *target = candidates->targets[i];
         if (is_ejected(target, now) == ejected) {
-            add_home(homes, target,
-                     CmHash_Bytes(&target->hash, sizeof(target->hash), seed));
+            if (i < candidates->n_window) {
+                add_home(
+                    homes, target,
+                    CmHash_Bytes(&target->hash, sizeof(target->hash), seed));
+            }
             homes->copied =
                 homes->copied || is_warm(CmTarget_Copy(target, adapter), now);
         }
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -279,6 +279,42 @@
     CmTargets_Finish(&targets);
 }
 
+/// Gateways that know of different holders agree on an adapter's first engine:
+/// holders elsewhere are not taken for it.
+static void
+test_homes_do_not_follow_holders(void)
+{
+    enum { ALL = 3 * CM_PICK_WINDOW, ADAPTERS = 40, BUSY = 200 };
+    for (int a = 0; a < ADAPTERS; a++) {
+        char adapter[16];
+        snprintf(adapter, sizeof(adapter), "m/a%d", a);
+        struct cm_targets targets;
+        CmTargets_Init(&targets, "a", 7000);
+        for (int i = 0; i < ALL; i++) {
+            struct engine_state idle = {0};
+            add_engine(&targets, i, &idle);
+        }
+        struct cm_pick_request request = {
+            .service = "s", .adapter = adapter, .needs_model = true};
+        struct cm_pick before;
+        CmPick_Engine(&targets, &request, now(), &before);
+        // Every third one holds it, and is too busy to be taken.
+        for (int i = 0; i < ALL; i += 3) {
+            char id[16];
+            snprintf(id, sizeof(id), "e%d", i);
+            struct cm_live_target *holder = CmTargets_Find(&targets, id);
+            if (holder != before.target) {
+                CmTarget_SetHolds(holder, adapter, true, now());
+                holder->in_flight = BUSY;
+            }
+        }
+        struct cm_pick after;
+        CmPick_Engine(&targets, &request, now(), &after);
+        CU_ASSERT_PTR_EQUAL(after.target, before.target);
+        CmTargets_Finish(&targets);
+    }
+}
+
 /// Nothing usable near the adapter's place: the others are found.
 static void
 test_window_moves_on(void)
@@ -419,6 +455,7 @@
     {"first engines", test_homes},
     {"many engines", test_many_engines},
     {"another service with the adapter", test_service_with_the_same_adapter},
+    {"first engines, whoever holds", test_homes_do_not_follow_holders},
     {"a window without use", test_window_moves_on},
     {"plain services", test_plain},
     {"the platform's list", test_list},
