refactor(gateway): the time left of a request is worked out once

Cause: found on reading the change as a whole. lease.c worked out the time in which an answer is on time by itself, beside placing.c, with a constant of its own for the same figure, and without what placing.c had learnt since (streams that have begun, waits for starting engines); the pause for an agent that does not answer stood in lease.c and request.c.

Change: placing.c hands lease.c its limits; Lease_AgentIsDown() is the one place for the pause. An agent now ranks the load for a resumed stream by its gap, and for one that waited for engines as on time.

--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -14,8 +14,6 @@
 /// Time for which an agent that does not answer is left alone.
 #define AGENT_DOWN_MS 1000
 #define STATUS_OK 200
-/// Time from a grant to the first event at an engine that is not busy.
-#define FIRST_EVENT_MS 150
 
 static bool
 on_head(void *context, const struct cm_h1_head *head)
@@ -73,6 +71,13 @@
     lease->held = false;
 }
 
+void
+Lease_AgentIsDown(struct request *request)
+{
+    request->lease.target->agent_down_until =
+        CmTime_AddMs(Gateway_Now(request->gateway), AGENT_DOWN_MS);
+}
+
 static void
 on_end(void *context, enum cm_h1_call_end end)
 {
@@ -80,8 +85,7 @@
     const char *why = "the agent does not answer";
     request->lease.busy = false;
     if (end != CM_H1_CALL_WHOLE) {
-        request->lease.target->agent_down_until =
-            CmTime_AddMs(Gateway_Now(request->gateway), AGENT_DOWN_MS);
+        Lease_AgentIsDown(request);
         Request_NotLeased(request, why);
         return;
     }
@@ -108,7 +112,7 @@
 
 bool
 Lease_Ask(struct request *request, struct cm_live_target *target,
-          int64_t wait_ms, int64_t ahead_max_ms)
+          const struct lease_limits *limits)
 {
     struct lease *lease = &request->lease;
     struct gateway *gateway = request->gateway;
@@ -125,10 +129,9 @@
             CmTargets_Version(&gateway->targets, request->asked.adapter),
         .priority = request->route->priority,
         .slots = spec != NULL ? spec->engine.adapter_slots : 1,
-        .wait_ms = wait_ms,
-        .ahead_max_ms = ahead_max_ms,
-        .on_time_ms = request->route->target_ms - FIRST_EVENT_MS -
-                      CmTime_DiffMs(Gateway_Now(gateway), request->arrived),
+        .wait_ms = limits->wait_ms,
+        .ahead_max_ms = limits->ahead_max_ms,
+        .on_time_ms = limits->on_time_ms,
     };
     char *body = CmLeaseAsk_Encode(&ask);
     GString *message = compose(CM_LEASE_PATH, target->agent, body);
--- a/programs/coriandermoor/gateway/lease.h
+++ b/programs/coriandermoor/gateway/lease.h
@@ -6,13 +6,23 @@
 
 #include "request_defs.h"
 
+/// Times that bound a claim, in ms.
+struct lease_limits {
+    int64_t wait_ms;      ///< for the adapter to be in its slot
+    int64_t ahead_max_ms; ///< wait at the engine beyond which it says busy
+    int64_t on_time_ms;   ///< an answer is on time if granted within this
+};
+
 /// Asks the agent of `target` for the request's adapter. Request_Leased() or
 /// Request_NotLeased() follows, not from inside this function.
-/// @param ahead_max_ms wait at the engine beyond which the agent says busy.
 /// @return false if the agent can't be asked.
 bool
 Lease_Ask(struct request *request, struct cm_live_target *target,
-          int64_t wait_ms, int64_t ahead_max_ms);
+          const struct lease_limits *limits);
+
+/// The agent that was asked did not answer: leaves it alone for a while.
+void
+Lease_AgentIsDown(struct request *request);
 
 /// Ends the claim, asked for or held.
 void
@@ -27,7 +37,7 @@
 void
 Lease_FinishCalls(struct gateway *gateway);
 
-/// Implemented by request.c.
+/// Implemented by placing.c.
 void
 Request_Leased(struct request *request);
 void
--- a/programs/coriandermoor/gateway/placing.c
+++ b/programs/coriandermoor/gateway/placing.c
@@ -96,13 +96,16 @@
         else {
             log_choice(request, &pick);
             struct cm_time_left left = time_left(request);
-            int64_t wait_ms = MIN(LEASE_WAIT_MS, MAX(left.useful_ms, 1));
+            struct lease_limits limits = {
+                .wait_ms = MIN(LEASE_WAIT_MS, MAX(left.useful_ms, 1)),
+                .ahead_max_ms =
+                    CmAsking_AheadMaxMs(&request->asking, pick.target, &left),
+                .on_time_ms = left.on_time_ms,
+            };
             request->phase = REQUEST_LEASING;
             request->last_ask = CmAsking_IsLast(&request->asking, pick.target);
-            if (Lease_Ask(request, pick.target, wait_ms,
-                          CmAsking_AheadMaxMs(&request->asking, pick.target,
-                                              &left))) {
-                Request_SetTimer(request, wait_ms + LEASE_GRACE_MS);
+            if (Lease_Ask(request, pick.target, &limits)) {
+                Request_SetTimer(request, limits.wait_ms + LEASE_GRACE_MS);
                 return true;
             }
         }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -13,8 +13,6 @@
 #include "placing.h"
 #include "target_call.h"
 
-/// Time for which an agent that did not answer is left alone.
-#define AGENT_DOWN_MS 1000
 /// Silence after which a stream that may be resumed goes on elsewhere: before
 /// its first event, several prefills; then several times the slowest step.
 #define FIRST_EVENT_SILENCE_MS 1300
@@ -362,8 +360,7 @@
         Request_Place(request);
     }
     else if (request->phase == REQUEST_LEASING) {
-        request->lease.target->agent_down_until =
-            CmTime_AddMs(Gateway_Now(request->gateway), AGENT_DOWN_MS);
+        Lease_AgentIsDown(request);
         Request_NotLeased(request, "no answer in time");
     }
     else if (silence_ms(request) >= 0) {
