feat(gateway): log the content of a lost attempt

Cause: the attempt line names request id and target. A request that comes again under a new id can't be recognized in the logs, so they don't tell a gateway without a memory of contents from one whose memory is not shared.

Change: the line of an attempt that may have run ends with the first digits of the content's digest (host, path with query, body), computed only then. CmHash_DigestParts() hashes without copying the body.

--- a/packages/base/include/base/hash.h
+++ b/packages/base/include/base/hash.h
@@ -7,6 +7,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/uio.h>
 
 /// Length of a SHA-256 digest in hexadecimal, with the terminating NUL.
 #define CM_DIGEST_SIZE 65
@@ -23,4 +24,9 @@
 void
 CmHash_Digest(const void *data, size_t size, char digest[CM_DIGEST_SIZE]);
 
+/// Writes the SHA-256 digest of the concatenation of `n` parts as hexadecimal.
+void
+CmHash_DigestParts(const struct iovec *parts, size_t n,
+                   char digest[CM_DIGEST_SIZE]);
+
 #endif
--- a/packages/base/tests/base_test.c
+++ b/packages/base/tests/base_test.c
@@ -1,10 +1,11 @@
 /// @file base_test.c
 /// Time arithmetic, the manual clock, the report of findings, the text format
-/// of counters, and log levels.
+/// of counters, log levels, and digests.
 
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/finding.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "cm_test.h"
 
@@ -91,12 +92,26 @@
     }
 }
 
+static void
+test_digest_of_parts(void)
+{
+    static const struct iovec parts[] = {
+        {(void *)"a", 1}, {(void *)"", 0}, {(void *)"bc", 2}};
+    char whole[CM_DIGEST_SIZE];
+    char in_parts[CM_DIGEST_SIZE];
+    CmHash_Digest("abc", 3, whole);
+    CmHash_DigestParts(parts, G_N_ELEMENTS(parts), in_parts);
+    CU_ASSERT_STRING_EQUAL(whole, in_parts);
+    CU_ASSERT_NSTRING_EQUAL(whole, "ba7816bf8f01cfea", 16);
+}
+
 static const struct cm_test tests[] = {
     {"add milliseconds", test_add_ms},
     {"manual clock", test_manual_clock},
     {"findings report", test_findings_report},
     {"counters in Prometheus text format", test_counters_text},
     {"log levels", test_log_levels},
+    {"digest of parts", test_digest_of_parts},
 };
 
 CM_TEST_MAIN("base", tests)
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -30,6 +30,9 @@
 /// Output buffered for a caller beyond which its stream is aborted.
 #define UNREAD_MAX_BYTES ((size_t)1024 * 1024)
 
+/// Digits of a fingerprint in a log line.
+#define FINGERPRINT_LOG_LENGTH 12
+
 #define STATUS_OK 200
 #define STATUS_REDIRECT 300
 #define STATUS_BAD_REQUEST 400
@@ -82,6 +85,26 @@
     return CmTime_DiffMs(request->deadline, Gateway_Now(request->gateway));
 }
 
+const char *
+Request_Fingerprint(struct request *request)
+{
+    if (request->fingerprint[0] == '\0') {
+        const struct cm_h1_head *head = CmH1Conn_Head(&request->caller->conn);
+        const char *host = CmH1Head_Find(head, "Host");
+        const GString *body = request->caller->body;
+        // Neither host nor path can contain the separator.
+        struct iovec parts[] = {
+            {(void *)host, host != NULL ? strlen(host) : 0},
+            {(void *)"\n", 1},
+            {head->target->str, head->target->len},
+            {(void *)"\n", 1},
+            {body->str, body->len},
+        };
+        CmHash_DigestParts(parts, G_N_ELEMENTS(parts), request->fingerprint);
+    }
+    return request->fingerprint;
+}
+
 void
 Request_ExcludeTarget(struct request *request, struct cm_live_target *target)
 {
@@ -242,8 +265,10 @@
     struct cm_live_target *target = CmTarget_Ref(request->attempt.target);
     struct timespec now = Gateway_Now(request->gateway);
     CmLog_Event(G_LOG_LEVEL_INFO, "attempt", request->parsed.id,
-                "%s at %s: %s, status %d", target->id, target->address,
-                attempt_end_text(end), request->attempt.response.status);
+                "%s at %s: %s, status %d, content %.*s", target->id,
+                target->address, attempt_end_text(end),
+                request->attempt.response.status, FINGERPRINT_LOG_LENGTH,
+                end == CM_ATTEMPT_LOST ? Request_Fingerprint(request) : "-");
     if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_REJECTED) {
         request->retry.runs--;
     }
--- a/programs/coriandermoor/gateway/request.h
+++ b/programs/coriandermoor/gateway/request.h
@@ -31,6 +31,11 @@
 Request_CountLatency(const struct request *request,
                      enum gateway_latency latency);
 
+/// @return the digest of what identifies a request that comes again under a
+/// new id: host, path with query, and body. Computed on first use.
+const char *
+Request_Fingerprint(struct request *request);
+
 /// Excludes a target from further attempts of this request.
 void
 Request_ExcludeTarget(struct request *request, struct cm_live_target *target);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -5,6 +5,7 @@
 #ifndef GATEWAY_REQUEST_DEFS_H
 #define GATEWAY_REQUEST_DEFS_H
 
+#include "base/hash.h"
 #include "call_codec.h"
 #include "caller_conns.h"
 #include "dispatch/wait_limit.h"
@@ -70,6 +71,8 @@
     bool busy_is_final;        ///< a busy reply rules this engine out
     int64_t min_queue_wait_ms; ///< shortest that agents reported; 0 for none
     bool caller_stalled;       ///< too much output is unread by the caller
+    /// Identifies the content, see Request_Fingerprint(); "" until computed.
+    char fingerprint[CM_DIGEST_SIZE];
     /// The stream's head was sent without "Connection: close".
     bool keep_alive;
 };
