--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -204,6 +204,9 @@
         self.up = False
         self.draining = False
         self.runs = []  # [id, path, adapter, version, incarnation, time]
+        self.crashing_bodies = set()  # end the target that runs one of them
+        self.crashes = []  # [id, body, time] of runs that ended the target
+        self.restart_delay_s = 1.0  # after such a crash
         self.active_runs = 0
         self.lost_response_rate = 0.0  # share of runs without a response
         self.failure_rate = 0.0        # share that end with failure_status
@@ -228,6 +231,27 @@
     def deregister(self):
         self.store.delete("servers", self.id)
 
+    async def crash_by(self, headers, body):
+        """Crashes and restarts if a run of `body` ends the target.
+
+        Returns whether it does.
+        """
+        if body not in self.crashing_bodies:
+            return False
+        self.crashes.append((headers.get("x-request-id"), body,
+                             time.monotonic()))
+        await self.crash()
+        asyncio.get_running_loop().call_later(
+            self.restart_delay_s,
+            lambda: asyncio.ensure_future(self.restart()))
+        return True
+
+    async def restart(self):
+        """Starts a new incarnation unless the target is up already."""
+        if not self.up:
+            self.deregister()
+            await self.start()
+
     def server_record(self):
         return {"service": self.service, "address": self.address,
                 "zone": self.zone, "version": "v1", "slots": self.slots,
@@ -268,6 +292,8 @@
         if target == "/health":
             return Response(200, {"X-Instance-Id": self.id})
         self.record_run(headers, target)
+        if await self.crash_by(headers, body):
+            return None
         self.active_runs += 1
         try:
             await asyncio.sleep(self.service_time_s)
@@ -354,7 +380,7 @@
                     headers)
                 return None
             return self.execute_order(order)
-        return await self.run_request(target, headers)
+        return await self.run_request(target, headers, body)
 
     def execute_delayed_order(self, order, headers):
         """Executes the order in the present incarnation, unless the engine is
@@ -410,7 +436,7 @@
         response_headers["X-Not-Executed"] = "1"
         return Response(status, response_headers)
 
-    async def run_request(self, target, headers):
+    async def run_request(self, target, headers, body):
         model, _, adapter = headers.get("x-model", "").partition("/")
         if model not in self.models or (
                 adapter and adapter not in self.adapters):
@@ -420,6 +446,8 @@
         if expected is not None and int(expected) != version:
             return self.not_executed(headers, 421)
         self.record_run(headers, target, adapter, version)
+        if await self.crash_by(headers, body):
+            return None
         length = int(headers.get("x-token-usage", "0,10").split(",")[1])
         last = int(headers.get("last-event-id", 0))
         return Response(200, dict(self.response_headers(headers), **{
