refactor(quarantine): a package whose verdicts follow from a set of records

Cause: the quarantine of packages/routing counts crashes in the order in which they arrive, in one process. The gateways need the same decision from reports that arrive late, twice and in any order, and there is to be one copy of it.

Change: packages/quarantine keeps crash records, which never change, and derives the verdicts from the whole set: runs that overlap in time count once, crashes in which a convicted content ran don't count for others, and a crash doesn't count while an equally suspect content ran in it. The entry uses it with its two crashes as before; packages/routing loses its copy, and the tables of its tests move along. The test of expiry advances its clock between a completion and the next crash, as records are ordered by time; it checks the same transitions.

--- /dev/null
+++ b/packages/quarantine/include/quarantine/crash_record.h
@@ -0,0 +1,68 @@
+/// @file crash_record.h
+/// What one process observed of a crash. Records never change, and every
+/// process derives the same verdicts from the same set of them.
+
+#ifndef QUARANTINE_CRASH_RECORD_H
+#define QUARANTINE_CRASH_RECORD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+#include "base/list.h"
+
+/// Size of a content's name with the terminating NUL: 128 bits of its digest
+/// in hexadecimal. Longer names are truncated.
+#define CM_CONTENT_SIZE 33
+/// Size of the names of targets and observers; longer names are truncated.
+#define CM_CRASH_NAME_SIZE 64
+/// Most runs of one record: what an engine runs at once.
+#define CM_CRASH_RUNS_MAX 64
+
+enum cm_crash_record_kind {
+    CM_CRASH_RECORD_CRASH,     ///< a target ended; `runs` were in progress
+    CM_CRASH_RECORD_COMPLETED, ///< the content in `runs` ran to its end
+    CM_CRASH_RECORD_ALIVE,     ///< a target that counts as crashed responded
+    CM_CRASH_RECORD_LIFTED,    ///< an operator lifts the content's verdict
+    N_CM_CRASH_RECORD_KINDS
+};
+
+/// One request in progress when its target ended.
+struct cm_crash_run {
+    char content[CM_CONTENT_SIZE];
+    int64_t ran_ms; ///< time from its send until the target ended
+};
+
+struct cm_crash_record {
+    TAILQ_ENTRY(cm_crash_record) link;
+    uint64_t id; ///< chosen at random by the observer
+    enum cm_crash_record_kind kind;
+    struct timespec at; ///< when it happened, by the clock of this process
+    char target[CM_CRASH_NAME_SIZE]; ///< incarnation, "" for a content
+    char observer[CM_CRASH_NAME_SIZE];
+    struct cm_crash_run *runs;
+    size_t n_runs;
+};
+
+TAILQ_HEAD(cm_crash_records, cm_crash_record);
+
+/// @return a record without runs, to be freed with CmCrashRecord_Free().
+struct cm_crash_record *
+CmCrashRecord_New(enum cm_crash_record_kind kind, uint64_t id,
+                  const char *target, const char *observer,
+                  struct timespec at);
+
+void
+CmCrashRecord_Free(struct cm_crash_record *record);
+
+/// Adds a run, unless the record is full.
+void
+CmCrashRecord_AddRun(struct cm_crash_record *record, const char *content,
+                     int64_t ran_ms);
+
+/// @return whether `content` is among the record's runs.
+bool
+CmCrashRecord_HasContent(const struct cm_crash_record *record,
+                         const char *content);
+
+#endif
--- /dev/null
+++ b/packages/quarantine/include/quarantine/verdict.h
@@ -0,0 +1,38 @@
+/// @file verdict.h
+/// Derives from a set of crash records which contents crash their targets. A
+/// pure function: the order of the records doesn't matter.
+///
+/// Every run that a crash cut off is a suspect. A suspect is convicted once it
+/// was in enough crashes that nothing else explains:
+///
+/// - Runs that end before the content's last completed run don't count.
+/// - Runs of one content that overlap in time count once, as racks end all
+///   their targets at the same moment. A content that crashes its targets
+///   comes again afterwards.
+/// - Crashes in which a convicted content ran don't count for others.
+/// - A crash doesn't count while another content that was in as many crashes
+///   ran in it, too: the next crash of either tells them apart.
+
+#ifndef QUARANTINE_VERDICT_H
+#define QUARANTINE_VERDICT_H
+
+#include <glib.h>
+
+#include "quarantine/crash_record.h"
+
+/// A content that was cut off by at least one crash and has not completed
+/// since.
+struct cm_suspect {
+    char content[CM_CONTENT_SIZE];
+    int crashes; ///< that count against it
+    bool refused;
+    struct timespec last_crash;
+    char observers[CM_CRASH_NAME_SIZE]; ///< of its crashes, comma-separated
+};
+
+/// @param crashes after which a content is refused.
+/// @return content to struct cm_suspect, which the table owns.
+GHashTable *
+CmVerdict_Compute(const struct cm_crash_records *records, int crashes);
+
+#endif
--- /dev/null
+++ b/packages/quarantine/src/quarantine.c
@@ -0,0 +1,226 @@
+/// @file quarantine.c
+/// Merges crash records and keeps the verdicts up to date.
+
+#include "quarantine/quarantine.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+void
+CmQuarantine_Init(struct cm_quarantine *quarantine, int crashes,
+                  const struct cm_quarantine_listener *listener, void *context)
+{
+    *quarantine = (struct cm_quarantine){
+        .crashes = crashes, .listener = listener, .context = context};
+    TAILQ_INIT(&quarantine->records);
+    quarantine->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+    quarantine->suspects =
+        CmVerdict_Compute(&quarantine->records, quarantine->crashes);
+}
+
+static void
+remove_record(struct cm_quarantine *quarantine, struct cm_crash_record *record)
+{
+    TAILQ_REMOVE(&quarantine->records, record, link);
+    g_hash_table_remove(quarantine->by_id, &record->id);
+    quarantine->n_records--;
+    quarantine->digest ^= record->id;
+    CmCrashRecord_Free(record);
+}
+
+void
+CmQuarantine_Finish(struct cm_quarantine *quarantine)
+{
+    struct cm_crash_record *record;
+    while ((record = TAILQ_FIRST(&quarantine->records)) != NULL) {
+        remove_record(quarantine, record);
+    }
+    g_hash_table_destroy(quarantine->by_id);
+    g_hash_table_destroy(quarantine->suspects);
+}
+
+static const struct cm_suspect *
+find_suspect(GHashTable *suspects, const char *content)
+{
+    char name[CM_CONTENT_SIZE];
+    g_strlcpy(name, content, sizeof(name));
+    return g_hash_table_lookup(suspects, name);
+}
+
+static bool
+is_refused(GHashTable *suspects, const char *content)
+{
+    const struct cm_suspect *suspect = find_suspect(suspects, content);
+    return suspect != NULL && suspect->refused;
+}
+
+/// Tells the listener of contents that are refused in `suspects`, but not in
+/// `others`.
+static size_t
+report_changes(const struct cm_quarantine *quarantine, GHashTable *suspects,
+               GHashTable *others, bool refused)
+{
+    size_t n_refused = 0;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, suspects);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct cm_suspect *suspect = value;
+        n_refused += suspect->refused;
+        if (suspect->refused && quarantine->listener != NULL &&
+            !is_refused(others, suspect->content)) {
+            quarantine->listener->decided(quarantine->context, suspect,
+                                          refused);
+        }
+    }
+    return n_refused;
+}
+
+static void
+update_verdicts(struct cm_quarantine *quarantine)
+{
+    GHashTable *before = quarantine->suspects;
+    quarantine->suspects =
+        CmVerdict_Compute(&quarantine->records, quarantine->crashes);
+    report_changes(quarantine, before, quarantine->suspects, false);
+    quarantine->n_refused =
+        report_changes(quarantine, quarantine->suspects, before, true);
+    g_hash_table_destroy(before);
+}
+
+static bool
+supports_verdict(const struct cm_quarantine *quarantine,
+                 const struct cm_crash_record *record)
+{
+    for (size_t i = 0; i < record->n_runs; i++) {
+        if (is_refused(quarantine->suspects, record->runs[i].content)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Drops the oldest record that supports no verdict, or the oldest one.
+static void
+drop_oldest(struct cm_quarantine *quarantine)
+{
+    struct cm_crash_record *oldest = NULL;
+    bool oldest_supports = false;
+    struct cm_crash_record *record;
+    CmTailq_FOREACH (record, &quarantine->records, link) {
+        bool supports = supports_verdict(quarantine, record);
+        if (oldest == NULL || (oldest_supports && !supports) ||
+            (oldest_supports == supports &&
+             CmTime_Before(record->at, oldest->at))) {
+            oldest = record;
+            oldest_supports = supports;
+        }
+    }
+    remove_record(quarantine, oldest);
+}
+
+static bool
+is_expired(const struct cm_crash_record *record, struct timespec now)
+{
+    return CmTime_DiffMs(now, record->at) >= CM_QUARANTINE_EXPIRY_MS;
+}
+
+bool
+CmQuarantine_Add(struct cm_quarantine *quarantine,
+                 struct cm_crash_record *record, struct timespec now)
+{
+    if (is_expired(record, now) ||
+        g_hash_table_contains(quarantine->by_id, &record->id)) {
+        CmCrashRecord_Free(record);
+        return false;
+    }
+    TAILQ_INSERT_TAIL(&quarantine->records, record, link);
+    g_hash_table_insert(quarantine->by_id, &record->id, record);
+    quarantine->n_records++;
+    quarantine->digest ^= record->id;
+    update_verdicts(quarantine);
+    if (quarantine->n_records > CM_QUARANTINE_RECORDS_MAX) {
+        drop_oldest(quarantine);
+    }
+    return true;
+}
+
+void
+CmQuarantine_Expire(struct cm_quarantine *quarantine, struct timespec now)
+{
+    size_t before = quarantine->n_records;
+    struct cm_crash_record *record;
+    struct cm_crash_record *next;
+    CmTailq_FOREACH_SAFE (record, &quarantine->records, link, next) {
+        if (is_expired(record, now)) {
+            remove_record(quarantine, record);
+        }
+    }
+    if (quarantine->n_records != before) {
+        update_verdicts(quarantine);
+    }
+}
+
+bool
+CmQuarantine_IsEmpty(const struct cm_quarantine *quarantine)
+{
+    return g_hash_table_size(quarantine->suspects) == 0;
+}
+
+const struct cm_suspect *
+CmQuarantine_Find(const struct cm_quarantine *quarantine, const char *content)
+{
+    return find_suspect(quarantine->suspects, content);
+}
+
+bool
+CmQuarantine_IsRefused(const struct cm_quarantine *quarantine,
+                       const char *content)
+{
+    return is_refused(quarantine->suspects, content);
+}
+
+void
+CmQuarantine_RecordCrash(struct cm_quarantine *quarantine, const char *crash,
+                         const char *const *contents, size_t n,
+                         struct timespec now)
+{
+    struct cm_crash_record *record = CmCrashRecord_New(
+        CM_CRASH_RECORD_CRASH, CmHash_Text(crash, 0), crash, "", now);
+    for (size_t i = 0; i < n; i++) {
+        CmCrashRecord_AddRun(record, contents[i], 0);
+    }
+    CmQuarantine_Add(quarantine, record, now);
+}
+
+void
+CmQuarantine_ClearSuspect(struct cm_quarantine *quarantine,
+                          const char *content, struct timespec now)
+{
+    const struct cm_suspect *suspect = CmQuarantine_Find(quarantine, content);
+    if (suspect == NULL || suspect->refused) {
+        return;
+    }
+    uint64_t id = CmHash_Bytes(&now, sizeof(now), CmHash_Text(content, 0));
+    struct cm_crash_record *record =
+        CmCrashRecord_New(CM_CRASH_RECORD_COMPLETED, id, "", "", now);
+    CmCrashRecord_AddRun(record, content, 0);
+    CmQuarantine_Add(quarantine, record, now);
+}
+
+void
+CmQuarantine_ForEach(const struct cm_quarantine *quarantine,
+                     void (*each)(void *context,
+                                  const struct cm_suspect *suspect),
+                     void *context)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, quarantine->suspects);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct cm_suspect *suspect = value;
+        if (suspect->refused) {
+            each(context, suspect);
+        }
+    }
+}
--- /dev/null
+++ b/packages/quarantine/src/verdict.c
@@ -0,0 +1,308 @@
+/// @file verdict.c
+/// Attributes crashes to contents.
+
+#include "quarantine/verdict.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+/// Runs whose times overlap by no more than this count as consecutive, as
+/// processes learn each other's times by messages.
+#define OVERLAP_TOLERANCE_MS 5
+
+/// The end of one target, from the records of all that observed it.
+struct crash {
+    const char *target;
+    bool explained; ///< a convicted content ran in it
+};
+
+/// Part of one content in one crash.
+struct involvement {
+    struct crash *crash;
+    struct timespec from; ///< when the run was sent
+    struct timespec to;   ///< when the target ended
+};
+
+/// A suspect with its crashes, ordered by time.
+struct candidate {
+    struct cm_suspect *suspect;
+    GArray *involvements; ///< of struct involvement
+};
+
+static void
+candidate_free(void *data)
+{
+    struct candidate *candidate = data;
+    g_array_free(candidate->involvements, TRUE);
+    g_free(candidate);
+}
+
+/// Working state of one computation.
+struct inquiry {
+    int threshold;
+    GHashTable *alive;      ///< target to the time of its last response
+    GHashTable *cleared;    ///< content to the end of its last good run
+    GHashTable *crashes;    ///< target to struct crash
+    GHashTable *candidates; ///< content to struct candidate
+    GHashTable *suspects;   ///< result
+};
+
+static void
+keep_latest(GHashTable *times, const char *key, const struct timespec *at)
+{
+    const struct timespec *known = g_hash_table_lookup(times, key);
+    if (known == NULL || CmTime_Before(*known, *at)) {
+        g_hash_table_replace(times, (void *)key, (void *)at);
+    }
+}
+
+/// @return whether `times` has a time for `key` that is not before `at`.
+static bool
+is_superseded(GHashTable *times, const char *key, struct timespec at)
+{
+    const struct timespec *known = g_hash_table_lookup(times, key);
+    return known != NULL && !CmTime_Before(*known, at);
+}
+
+static void
+collect_acquittals(struct inquiry *inquiry,
+                   const struct cm_crash_records *records)
+{
+    const struct cm_crash_record *record;
+    CmTailq_FOREACH (record, records, link) {
+        if (record->kind == CM_CRASH_RECORD_ALIVE) {
+            keep_latest(inquiry->alive, record->target, &record->at);
+        }
+        else if (record->kind != CM_CRASH_RECORD_CRASH) {
+            for (size_t i = 0; i < record->n_runs; i++) {
+                keep_latest(inquiry->cleared, record->runs[i].content,
+                            &record->at);
+            }
+        }
+    }
+}
+
+static struct crash *
+find_or_add_crash(struct inquiry *inquiry, const char *target)
+{
+    struct crash *crash = g_hash_table_lookup(inquiry->crashes, target);
+    if (crash == NULL) {
+        crash = g_new0(struct crash, 1);
+        crash->target = target;
+        g_hash_table_insert(inquiry->crashes, (void *)target, crash);
+    }
+    return crash;
+}
+
+static struct candidate *
+find_or_add_candidate(struct inquiry *inquiry, const char *content)
+{
+    struct candidate *candidate =
+        g_hash_table_lookup(inquiry->candidates, content);
+    if (candidate == NULL) {
+        candidate = g_new0(struct candidate, 1);
+        candidate->suspect = g_new0(struct cm_suspect, 1);
+        candidate->involvements =
+            g_array_new(FALSE, FALSE, sizeof(struct involvement));
+        g_strlcpy(candidate->suspect->content, content, CM_CONTENT_SIZE);
+        g_hash_table_insert(inquiry->candidates, (void *)content, candidate);
+        g_hash_table_insert(inquiry->suspects, candidate->suspect->content,
+                            candidate->suspect);
+    }
+    return candidate;
+}
+
+/// Adds `observer` to the suspect's list, once.
+static void
+name_observer(struct cm_suspect *suspect, const char *observer)
+{
+    if (strstr(suspect->observers, observer) != NULL) {
+        return;
+    }
+    if (suspect->observers[0] != '\0') {
+        g_strlcat(suspect->observers, ",", sizeof(suspect->observers));
+    }
+    g_strlcat(suspect->observers, observer, sizeof(suspect->observers));
+}
+
+static void
+add_run(struct inquiry *inquiry, const struct cm_crash_record *record,
+        const struct cm_crash_run *run)
+{
+    if (is_superseded(inquiry->cleared, run->content, record->at)) {
+        return;
+    }
+    struct crash *crash = find_or_add_crash(inquiry, record->target);
+    struct candidate *candidate = find_or_add_candidate(inquiry, run->content);
+    struct cm_suspect *suspect = candidate->suspect;
+    struct involvement involvement = {
+        crash, CmTime_AddMs(record->at, -run->ran_ms), record->at};
+    name_observer(suspect, record->observer);
+    if (CmTime_Before(suspect->last_crash, record->at)) {
+        suspect->last_crash = record->at;
+    }
+    for (guint i = 0; i < candidate->involvements->len; i++) {
+        if (g_array_index(candidate->involvements, struct involvement, i)
+                .crash == crash) {
+            return;
+        }
+    }
+    g_array_append_val(candidate->involvements, involvement);
+}
+
+static void
+collect_crashes(struct inquiry *inquiry,
+                const struct cm_crash_records *records)
+{
+    const struct cm_crash_record *record;
+    CmTailq_FOREACH (record, records, link) {
+        if (record->kind != CM_CRASH_RECORD_CRASH ||
+            is_superseded(inquiry->alive, record->target, record->at)) {
+            continue;
+        }
+        for (size_t i = 0; i < record->n_runs; i++) {
+            add_run(inquiry, record, &record->runs[i]);
+        }
+    }
+}
+
+static int
+compare_ends(const void *a, const void *b)
+{
+    const struct involvement *left = a;
+    const struct involvement *right = b;
+    if (CmTime_Before(left->to, right->to)) {
+        return -1;
+    }
+    return CmTime_Before(right->to, left->to) ? 1 : 0;
+}
+
+static bool
+was_in(const struct candidate *candidate, const struct crash *crash)
+{
+    for (guint i = 0; i < candidate->involvements->len; i++) {
+        if (g_array_index(candidate->involvements, struct involvement, i)
+                .crash == crash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return whether another candidate, in as many crashes as this one, may have
+/// caused the crash.
+static bool
+is_ambiguous(const struct candidate *candidate, const struct crash *crash,
+             const GPtrArray *rivals)
+{
+    for (guint i = 0; rivals != NULL && i < rivals->len; i++) {
+        const struct candidate *rival = g_ptr_array_index(rivals, i);
+        if (rival != candidate && !rival->suspect->refused &&
+            rival->suspect->crashes >= candidate->suspect->crashes &&
+            was_in(rival, crash)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return the number of unexplained crashes of a candidate. Those with
+/// overlapping runs count once, those that one of `rivals` may have caused not
+/// at all.
+static int
+count_crashes(const struct candidate *candidate, const GPtrArray *rivals)
+{
+    int count = 0;
+    struct timespec last_end = {0};
+    for (guint i = 0; i < candidate->involvements->len; i++) {
+        const struct involvement *involvement =
+            &g_array_index(candidate->involvements, struct involvement, i);
+        if (involvement->crash->explained ||
+            is_ambiguous(candidate, involvement->crash, rivals)) {
+            continue;
+        }
+        if (count == 0 || CmTime_DiffMs(last_end, involvement->from) <=
+                              OVERLAP_TOLERANCE_MS) {
+            count++;
+            last_end = involvement->to;
+        }
+    }
+    return count;
+}
+
+static void
+convict(struct candidate *candidate)
+{
+    candidate->suspect->refused = true;
+    for (guint i = 0; i < candidate->involvements->len; i++) {
+        g_array_index(candidate->involvements, struct involvement, i)
+            .crash->explained = true;
+    }
+}
+
+/// Convicts one candidate if any can be.
+/// @param repeated the candidates with enough crashes to be convicted.
+static bool
+convict_next(const struct inquiry *inquiry, const GPtrArray *repeated)
+{
+    for (guint i = 0; i < repeated->len; i++) {
+        struct candidate *candidate = g_ptr_array_index(repeated, i);
+        if (!candidate->suspect->refused) {
+            candidate->suspect->crashes = count_crashes(candidate, NULL);
+        }
+    }
+    for (guint i = 0; i < repeated->len; i++) {
+        struct candidate *candidate = g_ptr_array_index(repeated, i);
+        if (!candidate->suspect->refused &&
+            count_crashes(candidate, repeated) >= inquiry->threshold) {
+            convict(candidate);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+convict_all(const struct inquiry *inquiry)
+{
+    GPtrArray *repeated = g_ptr_array_new();
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, inquiry->candidates);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct candidate *candidate = value;
+        g_array_sort(candidate->involvements, compare_ends);
+        candidate->suspect->crashes = count_crashes(candidate, NULL);
+        if (candidate->suspect->crashes >= inquiry->threshold) {
+            g_ptr_array_add(repeated, candidate);
+        }
+    }
+    while (convict_next(inquiry, repeated)) {
+    }
+    g_ptr_array_free(repeated, TRUE);
+}
+
+GHashTable *
+CmVerdict_Compute(const struct cm_crash_records *records, int crashes)
+{
+    struct inquiry inquiry = {
+        .threshold = crashes,
+        .alive = g_hash_table_new(g_str_hash, g_str_equal),
+        .cleared = g_hash_table_new(g_str_hash, g_str_equal),
+        .crashes =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free),
+        .candidates = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                            candidate_free),
+        .suspects =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free),
+    };
+    collect_acquittals(&inquiry, records);
+    collect_crashes(&inquiry, records);
+    convict_all(&inquiry);
+    g_hash_table_destroy(inquiry.candidates);
+    g_hash_table_destroy(inquiry.crashes);
+    g_hash_table_destroy(inquiry.cleared);
+    g_hash_table_destroy(inquiry.alive);
+    return inquiry.suspects;
+}
--- a/packages/routing/tests/routing_test.c
+++ b/packages/routing/tests/routing_test.c
@@ -1,6 +1,6 @@
 /// @file routing_test.c
-/// Tests routing policies, outlier ejection, outcomes, the retry budget,
-/// quarantine and admission.
+/// Tests routing policies, outlier ejection, outcomes, the retry budget and
+/// admission.
 
 #include "routing/router.h"
 
@@ -10,7 +10,6 @@
 #include "cm_test.h"
 #include "routing/admission.h"
 #include "routing/outcome.h"
-#include "routing/quarantine.h"
 
 #define TARGETS 6
 
@@ -292,81 +291,6 @@
     CU_ASSERT_TRUE(spent >= 1000 * CM_RETRY_BUDGET_RATIO - 1);
 }
 
-/// Crashes with the contents that ran, and the contents refused afterwards.
-static const struct {
-    const char *what;
-    struct {
-        const char *crash;
-        const char *contents[4];
-    } crashes[4];
-    const char *refused; ///< one letter per content
-} quarantine_cases[] = {
-    {"one crash", {{"c1", {"a", "b"}}}, ""},
-    {"same content twice", {{"c1", {"a", "b"}}, {"c2", {"a", "x"}}}, "a"},
-    {"one crash reported twice", {{"c1", {"a"}}, {"c1", {"a"}}}, ""},
-    {"two repeat suspects in one crash: neither is refused",
-     {{"c1", {"a", "b"}}, {"c2", {"a", "b"}}},
-     ""},
-    {"one of two repeat suspects in a further crash",
-     {{"c1", {"a", "b"}}, {"c2", {"a", "b"}}, {"c3", {"a", "z"}}},
-     "a"},
-    {"contents of one crash only are not refused",
-     {{"c1", {"a", "b"}}, {"c2", {"a", "c"}}},
-     "a"},
-};
-
-static void
-test_quarantine(void)
-{
-    struct cm_manual_clock clock;
-    CmManualClock_Init(&clock);
-    for (size_t i = 0; i < G_N_ELEMENTS(quarantine_cases); i++) {
-        struct cm_quarantine quarantine;
-        CmQuarantine_Init(&quarantine);
-        for (size_t j = 0; quarantine_cases[i].crashes[j].crash != NULL; j++) {
-            const char *const *contents =
-                quarantine_cases[i].crashes[j].contents;
-            size_t n = 0;
-            while (contents[n] != NULL) {
-                n++;
-            }
-            CmQuarantine_RecordCrash(&quarantine,
-                                     quarantine_cases[i].crashes[j].crash,
-                                     contents, n, clock.now);
-        }
-        for (int letter = 'a'; letter <= 'z'; letter++) {
-            char content[2] = {(char)letter, '\0'};
-            bool expected =
-                strchr(quarantine_cases[i].refused, letter) != NULL;
-            CU_ASSERT_EQUAL(
-                CmQuarantine_IsRefused(&quarantine, content, clock.now),
-                expected);
-        }
-        CmQuarantine_Finish(&quarantine);
-    }
-}
-
-static void
-test_quarantine_expiry(void)
-{
-    struct cm_manual_clock clock;
-    CmManualClock_Init(&clock);
-    struct cm_quarantine quarantine;
-    CmQuarantine_Init(&quarantine);
-    const char *content[] = {"a"};
-    CmQuarantine_RecordCrash(&quarantine, "c1", content, 1, clock.now);
-    CU_ASSERT_TRUE(CmQuarantine_IsSuspect(&quarantine, "a", clock.now));
-    CmQuarantine_ClearSuspect(&quarantine, "a");
-    CU_ASSERT_FALSE(CmQuarantine_IsSuspect(&quarantine, "a", clock.now));
-    CmQuarantine_RecordCrash(&quarantine, "c2", content, 1, clock.now);
-    CmQuarantine_RecordCrash(&quarantine, "c3", content, 1, clock.now);
-    CmQuarantine_ClearSuspect(&quarantine, "a");
-    CU_ASSERT_TRUE(CmQuarantine_IsRefused(&quarantine, "a", clock.now));
-    CmManualClock_Advance(&clock, CM_QUARANTINE_EXPIRY_MS);
-    CU_ASSERT_FALSE(CmQuarantine_IsRefused(&quarantine, "a", clock.now));
-    CmQuarantine_Finish(&quarantine);
-}
-
 static void
 test_admission(void)
 {
@@ -405,8 +329,6 @@
     {"preferred targets are stable", test_preferred_are_stable},
     {"outcomes", test_outcomes},
     {"retry budget", test_retry_budget},
-    {"quarantine", test_quarantine},
-    {"quarantine clears and expires", test_quarantine_expiry},
     {"admission", test_admission},
 };
 
--- a/programs/coriandermoor/admin.c
+++ b/programs/coriandermoor/admin.c
@@ -268,9 +268,9 @@
 }
 
 static void
-append_fingerprint(void *context, const char *fingerprint)
+append_content(void *context, const struct cm_suspect *suspect)
 {
-    json_array_append_new(context, json_string(fingerprint));
+    json_array_append_new(context, json_string(suspect->content));
 }
 
 static void
@@ -282,8 +282,7 @@
         json_array_append_new(targets, describe_target(link));
     }
     json_t *quarantine = json_array();
-    CmQuarantine_ForEach(&entry->quarantine, Entry_Now(entry),
-                         append_fingerprint, quarantine);
+    CmQuarantine_ForEach(&entry->quarantine, append_content, quarantine);
     int64_t ran = entry->count.ran.value;
     double stall_ms =
         ran > 0 ? (double)entry->count.stall_ms.value / (double)ran : 0;
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -21,7 +21,7 @@
 #include "revision/revisions.h"
 #include "routing/admission.h"
 #include "routing/outcome.h"
-#include "routing/quarantine.h"
+#include "quarantine/quarantine.h"
 #include "routing/router.h"
 
 struct entry;
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -32,6 +32,9 @@
 /// Gap between two ticks from which on the process counts as suspended.
 #define SUSPENSION_MIN_MS 300
 #define ZMQ_SOCKETS_MAX 20000
+/// Crashes after which a content is refused. Agents report everything that ran
+/// on their target, so that two crashes are enough.
+#define CRASHES_TO_REFUSE 2
 #define MS_PER_S 1000
 #define STATUS_UNAVAILABLE 503
 
@@ -146,6 +149,7 @@
         Fleet_PollInstances(entry);
         PeerState_Poll(entry);
         WarmStart_SyncSnapshot(entry);
+        CmQuarantine_Expire(&entry->quarantine, Entry_Now(entry));
     }
     if (entry->ticks % PREFETCH_TICKS == PREFETCH_TICKS / 2) {
         Fleet_PrefetchDependencies(entry);
@@ -204,7 +208,7 @@
     CmHttpObjects_Init(&entry->objects, &entry->client, settings->platform);
     CmRouter_Init(&entry->router, policy, entry->random);
     CmPermits_Init(&entry->permits, Entry_Now(entry));
-    CmQuarantine_Init(&entry->quarantine);
+    CmQuarantine_Init(&entry->quarantine, CRASHES_TO_REFUSE, NULL, NULL);
     CmAdmission_Init(&entry->admission, (size_t)settings->waiting,
                      (size_t)settings->caller_share);
     CmOnce_Init(&entry->once, &entry->objects.base, entry->base, entry->clock,
--- a/programs/coriandermoor/exchange.c
+++ b/programs/coriandermoor/exchange.c
@@ -222,8 +222,7 @@
 reject_quarantined(struct exchange *exchange)
 {
     struct entry *entry = exchange->entry;
-    if (!CmQuarantine_IsRefused(&entry->quarantine, exchange->fingerprint,
-                                Entry_Now(entry))) {
+    if (!CmQuarantine_IsRefused(&entry->quarantine, exchange->fingerprint)) {
         return false;
     }
     entry->count.quarantined.value++;
@@ -333,7 +332,7 @@
     struct entry *entry = exchange->entry;
     struct timespec now = Entry_Now(entry);
     exchange->suspect =
-        CmQuarantine_IsSuspect(&entry->quarantine, exchange->fingerprint, now);
+        CmQuarantine_Find(&entry->quarantine, exchange->fingerprint) != NULL;
     struct cm_route_service *service = CmRouter_FindOrAddService(
         &entry->router, exchange->service->name,
         exchange->service->kind == CM_SERVICE_ENGINES);
@@ -561,7 +560,8 @@
     struct entry *entry = exchange->entry;
     entry->count.stall_ms.value += exchange->stall_ms;
     count_outcome(entry, CM_OUTCOME_RAN);
-    CmQuarantine_ClearSuspect(&entry->quarantine, exchange->fingerprint);
+    CmQuarantine_ClearSuspect(&entry->quarantine, exchange->fingerprint,
+                              Entry_Now(entry));
     Attempt_SendCredit(attempt);
     if (exchange->key != NULL) {
         OnceFlow_RecordAnswer(exchange, attempt);
--- a/programs/coriandermoor/links.c
+++ b/programs/coriandermoor/links.c
@@ -290,8 +290,7 @@
                 "these are suspects",
                 name, n);
     for (size_t i = 0; i < n; i++) {
-        if (CmQuarantine_IsRefused(&entry->quarantine, fingerprints[i],
-                                   Entry_Now(entry))) {
+        if (CmQuarantine_IsRefused(&entry->quarantine, fingerprints[i])) {
             CmLog_Decision("quarantine", NULL, fingerprints[i], "refuse", name,
                            "ran in at least two crashes");
         }
