feat(quarantine): spread crash records among gateways

Cause: a crashing content comes again at any gateway, so the limit on its runs holds only if gateways know each other's crash records.

--- /dev/null
+++ b/packages/quarantine/include/quarantine/exchange.h
@@ -0,0 +1,47 @@
+/// @file exchange.h
+/// Message between two gateways: crash records and the addresses of gateways,
+/// as JSON. Times are sent as ages, since clocks differ between machines.
+
+#ifndef QUARANTINE_EXCHANGE_H
+#define QUARANTINE_EXCHANGE_H
+
+#include <glib.h>
+
+#include "quarantine/crash_record.h"
+
+/// Most records of one message; further ones follow in the next one.
+#define CM_EXCHANGE_RECORDS_MAX 48
+/// Most addresses of gateways in one message.
+#define CM_EXCHANGE_PEERS_MAX 4
+/// Longest message, in bytes.
+#define CM_EXCHANGE_BYTES_MAX ((size_t)512 * 1024)
+
+/// One message. Requests and responses have the same form.
+struct cm_exchange {
+    char from[CM_CRASH_NAME_SIZE]; ///< sender's address, IP:PORT
+    uint64_t digest;               ///< of all records that the sender has
+    bool has_ids;                  ///< `ids` lists all of the sender's records
+    GArray *ids;                   ///< of uint64_t
+    GPtrArray *peers;              ///< addresses, owned
+    struct cm_crash_records records;
+};
+
+/// Initializes an empty message.
+void
+CmExchange_Init(struct cm_exchange *exchange, const char *from,
+                uint64_t digest);
+
+void
+CmExchange_Finish(struct cm_exchange *exchange);
+
+/// @return the message as JSON, to be freed with free().
+char *
+CmExchange_Encode(const struct cm_exchange *exchange, struct timespec now);
+
+/// Reads a message into an initialized one.
+/// @return false if it is malformed; `exchange` is then to be finished only.
+bool
+CmExchange_Decode(struct cm_exchange *exchange, const char *text, size_t size,
+                  struct timespec now);
+
+#endif
--- /dev/null
+++ b/packages/quarantine/include/quarantine/gossip.h
@@ -0,0 +1,98 @@
+/// @file gossip.h
+/// Spreads crash records among gateways, without sockets: decides which peer
+/// gets which records, and answers its messages.
+///
+/// A new record is pushed to a few random peers, each of which pushes it on
+/// once. What a push misses is found by polls: each gateway compares the
+/// digest of its records with that of one random peer at a time, and on a
+/// difference both exchange the ids that they have and the records that the
+/// other lacks.
+
+#ifndef QUARANTINE_GOSSIP_H
+#define QUARANTINE_GOSSIP_H
+
+#include "quarantine/exchange.h"
+#include "quarantine/quarantine.h"
+
+/// Peers to which a new record is pushed.
+#define CM_GOSSIP_FANOUT 4
+/// Pushed records in a second, on average. Bounds the traffic while many
+/// targets crash at once; what is repeated in several crashes goes first.
+#define CM_GOSSIP_RECORDS_PER_S 24
+/// Most peers that a gateway knows.
+#define CM_GOSSIP_PEERS_MAX 512
+
+/// Another gateway.
+struct cm_gossip_peer {
+    char address[CM_CRASH_NAME_SIZE];
+    bool seed; ///< from the settings: kept although it doesn't respond
+    struct timespec heard;    ///< last contact in either direction
+    struct timespec retry_at; ///< not asked before, after failures
+    int failures;             ///< in a row
+};
+
+struct cm_gossip {
+    struct cm_quarantine *quarantine;
+    char self[CM_CRASH_NAME_SIZE]; ///< own address
+    GRand *random;
+    GArray *peers; ///< of struct cm_gossip_peer
+    GArray
+        *pending;  ///< of uint64_t, ids of records to push, urgent ones first
+    double credit; ///< records that may be pushed now
+    struct timespec credit_at;
+};
+
+/// @param quarantine and `random` are borrowed.
+void
+CmGossip_Init(struct cm_gossip *gossip, struct cm_quarantine *quarantine,
+              const char *self, GRand *random);
+
+void
+CmGossip_Finish(struct cm_gossip *gossip);
+
+/// Adds a gateway, or marks a known one as a seed.
+void
+CmGossip_AddPeer(struct cm_gossip *gossip, const char *address, bool seed,
+                 struct timespec now);
+
+/// Chooses up to `n` random peers that are not waiting for a retry.
+/// @param[out] addresses valid until the next change of the peers.
+/// @return their number.
+size_t
+CmGossip_ChoosePeers(struct cm_gossip *gossip, struct timespec now, size_t n,
+                     const char *addresses[]);
+
+/// Records whether a call to a peer succeeded. Peers that are no seeds are
+/// removed after a while without contact.
+void
+CmGossip_CountCall(struct cm_gossip *gossip, const char *address, bool success,
+                   struct timespec now);
+
+/// Adds a record that this gateway observed, and marks it to be pushed.
+void
+CmGossip_Observe(struct cm_gossip *gossip, struct cm_crash_record *record,
+                 struct timespec now);
+
+/// Composes a push of records that are due, into an initialized message.
+/// @return false if there are none.
+bool
+CmGossip_ComposePush(struct cm_gossip *gossip, struct timespec now,
+                     struct cm_exchange *push);
+
+/// Composes a poll, into an initialized message.
+void
+CmGossip_ComposePoll(struct cm_gossip *gossip, struct cm_exchange *poll);
+
+/// Applies a peer's message and composes the response.
+void
+CmGossip_Answer(struct cm_gossip *gossip, struct cm_exchange *request,
+                struct timespec now, struct cm_exchange *response);
+
+/// Applies the response to a push or a poll.
+/// @param followup receives the next message to the same peer, if any.
+/// @return whether there is one.
+bool
+CmGossip_HandleResponse(struct cm_gossip *gossip, struct cm_exchange *response,
+                        struct timespec now, struct cm_exchange *followup);
+
+#endif
--- /dev/null
+++ b/packages/quarantine/src/gossip.c
@@ -0,0 +1,313 @@
+/// @file gossip.c
+/// Peers, pushes and polls of a gateway's crash records.
+
+#include "quarantine/gossip.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+/// Pause before a peer that didn't respond is asked again. Doubles with each
+/// failure, up to the maximum, within which a healed link is used again.
+#define RETRY_MIN_MS 500
+#define RETRY_MAX_MS 4000
+/// Time without contact after which a peer is forgotten.
+#define PEER_EXPIRY_MS 60000
+#define MS_PER_S 1000.0
+
+void
+CmGossip_Init(struct cm_gossip *gossip, struct cm_quarantine *quarantine,
+              const char *self, GRand *random)
+{
+    *gossip = (struct cm_gossip){
+        .quarantine = quarantine,
+        .random = random,
+        .peers = g_array_new(FALSE, TRUE, sizeof(struct cm_gossip_peer)),
+        .pending = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+        .credit = CM_EXCHANGE_RECORDS_MAX,
+    };
+    g_strlcpy(gossip->self, self, sizeof(gossip->self));
+}
+
+void
+CmGossip_Finish(struct cm_gossip *gossip)
+{
+    g_array_free(gossip->peers, TRUE);
+    g_array_free(gossip->pending, TRUE);
+}
+
+static struct cm_gossip_peer *
+peer_at(const struct cm_gossip *gossip, guint i)
+{
+    return &g_array_index(gossip->peers, struct cm_gossip_peer, i);
+}
+
+static struct cm_gossip_peer *
+find_peer(const struct cm_gossip *gossip, const char *address)
+{
+    for (guint i = 0; i < gossip->peers->len; i++) {
+        if (strcmp(peer_at(gossip, i)->address, address) == 0) {
+            return peer_at(gossip, i);
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_forgotten(const struct cm_gossip_peer *peer, struct timespec now)
+{
+    return !peer->seed && CmTime_DiffMs(now, peer->heard) > PEER_EXPIRY_MS;
+}
+
+void
+CmGossip_AddPeer(struct cm_gossip *gossip, const char *address, bool seed,
+                 struct timespec now)
+{
+    if (address[0] == '\0' || strcmp(address, gossip->self) == 0) {
+        return;
+    }
+    struct cm_gossip_peer *known = find_peer(gossip, address);
+    if (known != NULL) {
+        known->seed = known->seed || seed;
+        return;
+    }
+    if (gossip->peers->len >= CM_GOSSIP_PEERS_MAX) {
+        return;
+    }
+    struct cm_gossip_peer peer = {.seed = seed, .heard = now};
+    g_strlcpy(peer.address, address, sizeof(peer.address));
+    g_array_append_val(gossip->peers, peer);
+}
+
+size_t
+CmGossip_ChoosePeers(struct cm_gossip *gossip, struct timespec now, size_t n,
+                     const char *addresses[])
+{
+    size_t chosen = 0;
+    guint left = gossip->peers->len;
+    // A partial shuffle: each step takes a random peer of the remaining ones.
+    for (guint i = 0; i < left && chosen < n; i++) {
+        guint other =
+            (guint)g_rand_int_range(gossip->random, (gint32)i, (gint32)left);
+        struct cm_gossip_peer peer = *peer_at(gossip, other);
+        *peer_at(gossip, other) = *peer_at(gossip, i);
+        *peer_at(gossip, i) = peer;
+        if (!CmTime_Before(now, peer.retry_at)) {
+            addresses[chosen++] = peer_at(gossip, i)->address;
+        }
+    }
+    return chosen;
+}
+
+void
+CmGossip_CountCall(struct cm_gossip *gossip, const char *address, bool success,
+                   struct timespec now)
+{
+    struct cm_gossip_peer *peer = find_peer(gossip, address);
+    if (peer != NULL && success) {
+        peer->heard = now;
+        peer->failures = 0;
+        peer->retry_at = now;
+    }
+    else if (peer != NULL) {
+        int64_t pause_ms = (int64_t)RETRY_MIN_MS << MIN(peer->failures, 8);
+        peer->failures++;
+        peer->retry_at = CmTime_AddMs(now, MIN(pause_ms, RETRY_MAX_MS));
+    }
+    for (guint i = gossip->peers->len; i > 0; i--) {
+        if (is_forgotten(peer_at(gossip, i - 1), now)) {
+            g_array_remove_index_fast(gossip->peers, i - 1);
+        }
+    }
+}
+
+/// @return whether one of the record's contents was in another crash before.
+static bool
+is_urgent(const struct cm_gossip *gossip, const struct cm_crash_record *record)
+{
+    for (size_t i = 0; i < record->n_runs; i++) {
+        const struct cm_suspect *suspect =
+            CmQuarantine_Find(gossip->quarantine, record->runs[i].content);
+        if (suspect != NULL && suspect->crashes > 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Adds a record.
+/// @param push whether it is pushed if it is new.
+static void
+add_record(struct cm_gossip *gossip, struct cm_crash_record *record, bool push,
+           struct timespec now)
+{
+    uint64_t id = record->id;
+    if (!CmQuarantine_Add(gossip->quarantine, record, now) || !push) {
+        return;
+    }
+    const struct cm_crash_record *added =
+        g_hash_table_lookup(gossip->quarantine->by_id, &id);
+    if (added != NULL && is_urgent(gossip, added)) {
+        g_array_prepend_val(gossip->pending, id);
+    }
+    else {
+        g_array_append_val(gossip->pending, id);
+    }
+    if (gossip->pending->len > CM_QUARANTINE_RECORDS_MAX) {
+        g_array_set_size(gossip->pending, CM_QUARANTINE_RECORDS_MAX);
+    }
+}
+
+void
+CmGossip_Observe(struct cm_gossip *gossip, struct cm_crash_record *record,
+                 struct timespec now)
+{
+    add_record(gossip, record, true, now);
+}
+
+static void
+add_random_peers(struct cm_gossip *gossip, struct cm_exchange *exchange)
+{
+    for (guint i = 0;
+         i < MIN(gossip->peers->len, (guint)CM_EXCHANGE_PEERS_MAX); i++) {
+        guint at = (guint)g_rand_int_range(gossip->random, 0,
+                                           (gint32)gossip->peers->len);
+        if (peer_at(gossip, at)->failures == 0) {
+            g_ptr_array_add(exchange->peers,
+                            g_strdup(peer_at(gossip, at)->address));
+        }
+    }
+}
+
+/// Copies a record into a message.
+static void
+append_copy(struct cm_exchange *exchange, const struct cm_crash_record *record)
+{
+    struct cm_crash_record *copy =
+        CmCrashRecord_New(record->kind, record->id, record->target,
+                          record->observer, record->at);
+    for (size_t i = 0; i < record->n_runs; i++) {
+        CmCrashRecord_AddRun(copy, record->runs[i].content,
+                             record->runs[i].ran_ms);
+    }
+    TAILQ_INSERT_TAIL(&exchange->records, copy, link);
+}
+
+static void
+add_credit(struct cm_gossip *gossip, struct timespec now)
+{
+    if (gossip->credit_at.tv_sec != 0) {
+        gossip->credit += (double)CmTime_DiffMs(now, gossip->credit_at) *
+                          CM_GOSSIP_RECORDS_PER_S / MS_PER_S;
+        gossip->credit = MIN(gossip->credit, CM_EXCHANGE_RECORDS_MAX);
+    }
+    gossip->credit_at = now;
+}
+
+bool
+CmGossip_ComposePush(struct cm_gossip *gossip, struct timespec now,
+                     struct cm_exchange *push)
+{
+    add_credit(gossip, now);
+    guint taken = 0;
+    bool any = false;
+    while (taken < gossip->pending->len && gossip->credit >= 1) {
+        uint64_t id = g_array_index(gossip->pending, uint64_t, taken++);
+        const struct cm_crash_record *record =
+            g_hash_table_lookup(gossip->quarantine->by_id, &id);
+        if (record != NULL) {
+            append_copy(push, record);
+            gossip->credit -= 1;
+            any = true;
+        }
+    }
+    g_array_remove_range(gossip->pending, 0, taken);
+    push->digest = gossip->quarantine->digest;
+    return any;
+}
+
+void
+CmGossip_ComposePoll(struct cm_gossip *gossip, struct cm_exchange *poll)
+{
+    poll->digest = gossip->quarantine->digest;
+    add_random_peers(gossip, poll);
+}
+
+static void
+add_ids(const struct cm_gossip *gossip, struct cm_exchange *exchange)
+{
+    exchange->has_ids = true;
+    const struct cm_crash_record *record;
+    CmTailq_FOREACH (record, &gossip->quarantine->records, link) {
+        g_array_append_val(exchange->ids, record->id);
+    }
+}
+
+/// Adds the records that are not among `ids`.
+static void
+add_missing_records(const struct cm_gossip *gossip, const GArray *ids,
+                    struct cm_exchange *exchange)
+{
+    GHashTable *known = g_hash_table_new(g_int64_hash, g_int64_equal);
+    for (guint i = 0; i < ids->len; i++) {
+        g_hash_table_add(known, &g_array_index(ids, uint64_t, i));
+    }
+    size_t added = 0;
+    const struct cm_crash_record *record;
+    CmTailq_FOREACH (record, &gossip->quarantine->records, link) {
+        if (added < CM_EXCHANGE_RECORDS_MAX &&
+            !g_hash_table_contains(known, &record->id)) {
+            append_copy(exchange, record);
+            added++;
+        }
+    }
+    g_hash_table_destroy(known);
+}
+
+/// Takes peers and records from a message.
+static void
+merge(struct cm_gossip *gossip, struct cm_exchange *exchange, bool push,
+      struct timespec now)
+{
+    CmGossip_AddPeer(gossip, exchange->from, false, now);
+    CmGossip_CountCall(gossip, exchange->from, true, now);
+    for (guint i = 0; i < exchange->peers->len; i++) {
+        CmGossip_AddPeer(gossip, g_ptr_array_index(exchange->peers, i), false,
+                         now);
+    }
+    struct cm_crash_record *record;
+    while ((record = TAILQ_FIRST(&exchange->records)) != NULL) {
+        TAILQ_REMOVE(&exchange->records, record, link);
+        add_record(gossip, record, push, now);
+    }
+}
+
+void
+CmGossip_Answer(struct cm_gossip *gossip, struct cm_exchange *request,
+                struct timespec now, struct cm_exchange *response)
+{
+    bool is_push = !TAILQ_EMPTY(&request->records) && !request->has_ids;
+    merge(gossip, request, is_push, now);
+    response->digest = gossip->quarantine->digest;
+    add_random_peers(gossip, response);
+    if (request->has_ids) {
+        add_missing_records(gossip, request->ids, response);
+    }
+    else if (!is_push && request->digest != response->digest) {
+        add_ids(gossip, response);
+    }
+}
+
+bool
+CmGossip_HandleResponse(struct cm_gossip *gossip, struct cm_exchange *response,
+                        struct timespec now, struct cm_exchange *followup)
+{
+    merge(gossip, response, false, now);
+    if (!response->has_ids || response->digest == gossip->quarantine->digest) {
+        return false;
+    }
+    followup->digest = gossip->quarantine->digest;
+    add_ids(gossip, followup);
+    add_missing_records(gossip, response->ids, followup);
+    return true;
+}
