fix(gateway): refuse a content that has crashed three targets

Cause: limits were kept per request and per gateway. Nothing remembered a content, and nothing told the other gateways.

Change: crash_watch.c tells a crash from a lost connection: a target that cut off requests has crashed if a new connection is refused, or if another incarnation starts at its address; a response to a later request shows that it lives. What it ran goes into a crash record, which peer_gossip.c exchanges with the other gateways over their control addresses. A content with three crashes (packages/quarantine) is refused at once with 503, or 502 if this attempt may have run, without Retry-After. No call to the store is added, and as long as nothing crashes no body is hashed.

--- /dev/null
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -0,0 +1,415 @@
+/// @file crash_watch.c
+/// Tells a crash of a target from a lost connection.
+///
+/// A target that cuts off a request is asked for a new connection. It has
+/// crashed if nobody listens at its address any more, or if another
+/// incarnation starts there. A response to a later request shows that it
+/// lives. Everything else (silence, a link that is cut, a frozen machine)
+/// decides nothing, and the suspicion ends after a while.
+
+#include "crash_watch.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/log.h"
+#include "peer_gossip.h"
+#include "request.h"
+
+/// Time in which the other attempts that a crash cuts off are collected.
+#define COLLECT_MS 10
+/// Least time between two probes of a target, as it may reset many requests.
+#define PROBE_INTERVAL_MS 200
+/// Connect timeout of a probe.
+#define PROBE_TIMEOUT_MS 500
+/// Time after the last attempt that a target cut off, within which it may
+/// still turn out to have crashed, or to live.
+#define SUSPICION_MS 15000
+/// Time after which a run that streams events has evidently not crashed its
+/// target: a content does so when it starts to run.
+#define STREAMING_SAFE_MS 1000
+
+/// A run that was cut off.
+struct cut_off {
+    char content[CM_DIGEST_SIZE];
+    struct timespec sent_at;
+};
+
+enum suspicion_state {
+    SUSPICION_COLLECTING, ///< attempts that the target cuts off
+    SUSPICION_PROBING,    ///< waits for the result of a connect
+    SUSPICION_OPEN,       ///< waits for a sign that the target lives or not
+    SUSPICION_CONFIRMED,  ///< the target has crashed
+};
+
+/// A target that cut off attempts.
+struct crash_suspicion {
+    LIST_ENTRY(crash_suspicion) link;
+    struct gateway *gateway;
+    struct cm_live_target *target;
+    enum suspicion_state state;
+    struct timespec last_cut_off;
+    struct timespec probed_at;
+    GArray *runs;          ///< of struct cut_off, not recorded yet
+    evutil_socket_t probe; ///< -1 if there is none
+    struct event *probe_event;
+    struct event *timer;
+};
+
+static void
+set_timer(struct crash_suspicion *suspicion, int64_t ms)
+{
+    struct timeval timeout = CmTime_Timeval(ms);
+    evtimer_add(suspicion->timer, &timeout);
+}
+
+static void
+close_probe(struct crash_suspicion *suspicion)
+{
+    if (suspicion->probe_event != NULL) {
+        event_free(suspicion->probe_event);
+        suspicion->probe_event = NULL;
+    }
+    if (suspicion->probe >= 0) {
+        close(suspicion->probe);
+        suspicion->probe = -1;
+    }
+}
+
+static void
+suspicion_free(struct crash_suspicion *suspicion)
+{
+    LIST_REMOVE(suspicion, link);
+    close_probe(suspicion);
+    event_free(suspicion->timer);
+    g_array_free(suspicion->runs, TRUE);
+    CmTarget_Unref(suspicion->target);
+    g_free(suspicion);
+}
+
+/// Names an incarnation: an id alone may be used again.
+static void
+incarnation_name(const struct cm_live_target *target,
+                 char name[CM_CRASH_NAME_SIZE])
+{
+    g_snprintf(name, CM_CRASH_NAME_SIZE, "%s/%" PRId64, target->id,
+               target->started_ms);
+}
+
+static struct cm_crash_record *
+new_record(struct gateway *gateway, enum cm_crash_record_kind kind,
+           const char *target, struct timespec at)
+{
+    uint64_t id = ((uint64_t)g_rand_int(gateway->random) << 32) |
+                  g_rand_int(gateway->random);
+    return CmCrashRecord_New(kind, id, target, gateway->settings.common.name,
+                             at);
+}
+
+/// Records the crash with the runs that have been cut off since the last
+/// record.
+static void
+record_crash(struct crash_suspicion *suspicion)
+{
+    struct gateway *gateway = suspicion->gateway;
+    if (suspicion->state != SUSPICION_CONFIRMED) {
+        gateway->count.target_crashes.value++;
+    }
+    suspicion->state = SUSPICION_CONFIRMED;
+    set_timer(suspicion, SUSPICION_MS);
+    if (suspicion->runs->len == 0) {
+        return;
+    }
+    char name[CM_CRASH_NAME_SIZE];
+    incarnation_name(suspicion->target, name);
+    struct cm_crash_record *record = new_record(gateway, CM_CRASH_RECORD_CRASH,
+                                                name, suspicion->last_cut_off);
+    for (guint i = 0; i < suspicion->runs->len; i++) {
+        const struct cut_off *run =
+            &g_array_index(suspicion->runs, struct cut_off, i);
+        CmCrashRecord_AddRun(
+            record, run->content,
+            CmTime_DiffMs(suspicion->last_cut_off, run->sent_at));
+    }
+    CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
+                "%s at %s crashed and cut off %u requests, which are suspects",
+                suspicion->target->id, suspicion->target->address,
+                suspicion->runs->len);
+    g_array_set_size(suspicion->runs, 0);
+    PeerGossip_Observe(gateway, record);
+}
+
+static void
+leave_open(struct crash_suspicion *suspicion)
+{
+    suspicion->state = SUSPICION_OPEN;
+    set_timer(suspicion, SUSPICION_MS);
+}
+
+static void
+on_probe(evutil_socket_t fd, short what, void *context)
+{
+    struct crash_suspicion *suspicion = context;
+    int code = ETIMEDOUT;
+    socklen_t size = sizeof(code);
+    if ((what & EV_WRITE) != 0) {
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &code, &size);
+    }
+    close_probe(suspicion);
+    if (code == ECONNREFUSED) {
+        record_crash(suspicion);
+    }
+    else {
+        leave_open(suspicion);
+    }
+}
+
+/// Connects to the target's address, to see whether it still listens.
+static void
+start_probe(struct crash_suspicion *suspicion)
+{
+    struct sockaddr_storage address;
+    int size = sizeof(address);
+    if (evutil_parse_sockaddr_port(suspicion->target->address,
+                                   (struct sockaddr *)&address, &size) != 0) {
+        leave_open(suspicion);
+        return;
+    }
+    suspicion->probe = socket(address.ss_family,
+                              SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (suspicion->probe < 0) {
+        leave_open(suspicion);
+        return;
+    }
+    suspicion->state = SUSPICION_PROBING;
+    suspicion->probed_at = Gateway_Now(suspicion->gateway);
+    if (connect(suspicion->probe, (struct sockaddr *)&address,
+                (socklen_t)size) != 0 &&
+        errno != EINPROGRESS) {
+        bool refused = errno == ECONNREFUSED;
+        close_probe(suspicion);
+        if (refused) {
+            record_crash(suspicion);
+        }
+        else {
+            leave_open(suspicion);
+        }
+        return;
+    }
+    struct timeval timeout = CmTime_Timeval(PROBE_TIMEOUT_MS);
+    suspicion->probe_event =
+        event_new(suspicion->gateway->base, suspicion->probe, EV_WRITE,
+                  on_probe, suspicion);
+    event_add(suspicion->probe_event, &timeout);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    struct crash_suspicion *suspicion = context;
+    if (suspicion->state == SUSPICION_COLLECTING) {
+        start_probe(suspicion);
+    }
+    else if (suspicion->state == SUSPICION_CONFIRMED &&
+             suspicion->runs->len > 0) {
+        record_crash(suspicion);
+    }
+    else {
+        suspicion_free(suspicion);
+    }
+}
+
+static struct crash_suspicion *
+find_suspicion(const struct gateway *gateway,
+               const struct cm_live_target *target)
+{
+    struct crash_suspicion *suspicion;
+    CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
+        if (suspicion->target == target) {
+            return suspicion;
+        }
+    }
+    return NULL;
+}
+
+static struct crash_suspicion *
+add_suspicion(struct gateway *gateway, struct cm_live_target *target)
+{
+    struct crash_suspicion *suspicion = g_new0(struct crash_suspicion, 1);
+    suspicion->gateway = gateway;
+    suspicion->target = CmTarget_Ref(target);
+    suspicion->runs = g_array_new(FALSE, FALSE, sizeof(struct cut_off));
+    suspicion->probe = -1;
+    suspicion->timer = evtimer_new(gateway->base, on_timer, suspicion);
+    suspicion->state = SUSPICION_COLLECTING;
+    set_timer(suspicion, COLLECT_MS);
+    LIST_INSERT_HEAD(&gateway->crash_suspicions, suspicion, link);
+    return suspicion;
+}
+
+void
+CrashWatch_CountCutOff(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    const struct attempt *attempt = &request->attempt;
+    struct cm_live_target *target = attempt->target;
+    struct timespec now = Gateway_Now(gateway);
+    // A target that leaves cuts off what it doesn't finish in time.
+    if (target->draining || target->removed ||
+        (attempt->first_event_at.tv_sec != 0 &&
+         CmTime_DiffMs(now, attempt->first_event_at) > STREAMING_SAFE_MS)) {
+        return;
+    }
+    struct crash_suspicion *suspicion = find_suspicion(gateway, target);
+    if (suspicion == NULL) {
+        suspicion = add_suspicion(gateway, target);
+    }
+    else if (suspicion->state == SUSPICION_OPEN) {
+        suspicion->state = SUSPICION_COLLECTING;
+        set_timer(suspicion, MAX(PROBE_INTERVAL_MS -
+                                     CmTime_DiffMs(now, suspicion->probed_at),
+                                 COLLECT_MS));
+    }
+    else if (suspicion->state == SUSPICION_CONFIRMED) {
+        set_timer(suspicion, COLLECT_MS);
+    }
+    struct cut_off run = {.sent_at = attempt->sent_at};
+    g_strlcpy(run.content, Request_Fingerprint(request), sizeof(run.content));
+    g_array_append_val(suspicion->runs, run);
+    suspicion->last_cut_off = now;
+}
+
+/// Drops a content from the runs that are not recorded yet.
+static void
+forget_runs(struct gateway *gateway, const char *content)
+{
+    struct crash_suspicion *suspicion;
+    CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
+        for (guint i = suspicion->runs->len; i > 0; i--) {
+            if (strcmp(g_array_index(suspicion->runs, struct cut_off, i - 1)
+                           .content,
+                       content) == 0) {
+                g_array_remove_index_fast(suspicion->runs, i - 1);
+            }
+        }
+    }
+}
+
+void
+CrashWatch_CountCompleted(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    if (CmQuarantine_IsEmpty(&gateway->quarantine) &&
+        LIST_EMPTY(&gateway->crash_suspicions)) {
+        return;
+    }
+    const char *content = Request_Fingerprint(request);
+    forget_runs(gateway, content);
+    if (CmQuarantine_Find(&gateway->quarantine, content) != NULL) {
+        struct cm_crash_record *record = new_record(
+            gateway, CM_CRASH_RECORD_COMPLETED, "", Gateway_Now(gateway));
+        CmCrashRecord_AddRun(record, content, 0);
+        PeerGossip_Observe(gateway, record);
+    }
+}
+
+void
+CrashWatch_CountResponse(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    const struct attempt *attempt = &request->attempt;
+    struct crash_suspicion *suspicion =
+        find_suspicion(gateway, attempt->target);
+    if (suspicion == NULL || attempt->response.misdirected ||
+        (suspicion->state == SUSPICION_OPEN && suspicion->runs->len == 0) ||
+        !CmTime_Before(suspicion->last_cut_off, attempt->sent_at)) {
+        return;
+    }
+    if (suspicion->state == SUSPICION_CONFIRMED) {
+        char name[CM_CRASH_NAME_SIZE];
+        incarnation_name(suspicion->target, name);
+        CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", request->parsed.id,
+                    "%s at %s responds, so it has not crashed",
+                    suspicion->target->id, suspicion->target->address);
+        PeerGossip_Observe(gateway, new_record(gateway, CM_CRASH_RECORD_ALIVE,
+                                               name, Gateway_Now(gateway)));
+    }
+    g_array_set_size(suspicion->runs, 0);
+    close_probe(suspicion);
+    leave_open(suspicion);
+}
+
+void
+CrashWatch_CountStart(struct gateway *gateway,
+                      const struct cm_live_target *target)
+{
+    struct crash_suspicion *suspicion;
+    CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
+        if (suspicion->state != SUSPICION_CONFIRMED &&
+            suspicion->target->started_ms < target->started_ms &&
+            strcmp(suspicion->target->address, target->address) == 0) {
+            close_probe(suspicion);
+            record_crash(suspicion);
+        }
+    }
+}
+
+bool
+CrashWatch_Refuses(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    if (gateway->quarantine.n_refused == 0) {
+        return false;
+    }
+    const struct cm_suspect *suspect =
+        CmQuarantine_Find(&gateway->quarantine, Request_Fingerprint(request));
+    if (suspect == NULL || !suspect->refused) {
+        return false;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "quarantine", request->parsed.id,
+                "content %s is refused after %d crashes, seen by %s, the last "
+                "%" PRId64 " ms ago",
+                suspect->content, suspect->crashes, suspect->observers,
+                CmTime_DiffMs(Gateway_Now(gateway), suspect->last_crash));
+    gateway->count.quarantine_refusals.value++;
+    request->quarantined = true;
+    return true;
+}
+
+static void
+on_decided(void *context, const struct cm_suspect *suspect, bool refused)
+{
+    struct gateway *gateway = context;
+    if (refused) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
+                    "content %s is refused from now on: %d crashes of "
+                    "targets, seen by %s, the last %" PRId64 " ms ago",
+                    suspect->content, suspect->crashes, suspect->observers,
+                    CmTime_DiffMs(Gateway_Now(gateway), suspect->last_crash));
+    }
+    else {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
+                    "content %s is no longer refused", suspect->content);
+    }
+}
+
+void
+CrashWatch_Init(struct gateway *gateway)
+{
+    static const struct cm_quarantine_listener listener = {on_decided};
+    LIST_INIT(&gateway->crash_suspicions);
+    CmQuarantine_Init(&gateway->quarantine, GATEWAY_CRASHES_TO_REFUSE,
+                      &listener, gateway);
+}
+
+void
+CrashWatch_Finish(struct gateway *gateway)
+{
+    struct crash_suspicion *suspicion;
+    while ((suspicion = LIST_FIRST(&gateway->crash_suspicions)) != NULL) {
+        suspicion_free(suspicion);
+    }
+    CmQuarantine_Finish(&gateway->quarantine);
+}
--- /dev/null
+++ b/programs/coriandermoor/gateway/crash_watch.h
@@ -0,0 +1,40 @@
+/// @file crash_watch.h
+/// Finds out whether a target crashed when it cut off requests, and records
+/// which contents it was running.
+
+#ifndef GATEWAY_CRASH_WATCH_H
+#define GATEWAY_CRASH_WATCH_H
+
+#include "request_defs.h"
+
+void
+CrashWatch_Init(struct gateway *gateway);
+
+void
+CrashWatch_Finish(struct gateway *gateway);
+
+/// Counts an attempt that its target cut off before it completed.
+void
+CrashWatch_CountCutOff(struct request *request);
+
+/// Counts an attempt that its target ran to the end, which shows that its
+/// content crashes no targets.
+void
+CrashWatch_CountCompleted(struct request *request);
+
+/// Counts a response of the attempt's target. If the attempt was sent after
+/// the target was suspected, the target has not crashed.
+void
+CrashWatch_CountResponse(struct request *request);
+
+/// Counts the start of a target: what ran at its address before has ended.
+void
+CrashWatch_CountStart(struct gateway *gateway,
+                      const struct cm_live_target *target);
+
+/// @return whether the request's content has crashed so many targets that it
+/// is refused. Logs the decision.
+bool
+CrashWatch_Refuses(struct request *request);
+
+#endif
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -8,16 +8,20 @@
 
 #include "h1/conn.h"
 #include "h1/writer.h"
+#include "peer_gossip.h"
 #include "snapshot.h"
 
 #define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
 #define STATUS_UNAVAILABLE 503
 
-/// One connection to an endpoint. Each address has one response for all paths.
+/// One connection to an endpoint. Each address has one response for all paths,
+/// except for the exchange of crash records at the control address.
 struct endpoint_conn {
     LIST_ENTRY(endpoint_conn) link;
     struct gateway *gateway;
     struct cm_h1_conn conn;
+    GString *body; ///< of the current request, up to its limit
     void (*answer)(struct endpoint_conn *endpoint);
 };
 
@@ -47,12 +51,23 @@
 answer_metrics(struct endpoint_conn *endpoint)
 {
     GString *text = g_string_new(NULL);
-    CmCounters_Write(&endpoint->gateway->count.all, text);
+    struct gateway *gateway = endpoint->gateway;
+    gateway->count.quarantined.value = (int64_t)gateway->quarantine.n_refused;
+    CmCounters_Write(&gateway->count.all, text);
     CmHistogram_Write(endpoint->gateway->latency, N_LATENCIES, text);
     write_text(endpoint, STATUS_OK, text->str);
     g_string_free(text, TRUE);
 }
 
+static void
+answer_gossip(struct endpoint_conn *endpoint)
+{
+    char *text = PeerGossip_Answer(endpoint->gateway, endpoint->body);
+    write_text(endpoint, text != NULL ? STATUS_OK : STATUS_BAD_REQUEST,
+               text != NULL ? text : "malformed crash records\n");
+    free(text);
+}
+
 static void
 answer_snapshot(struct endpoint_conn *endpoint)
 {
@@ -62,14 +77,44 @@
     free(text);
 }
 
+static void
+answer_control(struct endpoint_conn *endpoint)
+{
+    const struct cm_h1_head *head = CmH1Conn_Head(&endpoint->conn);
+    if (strcmp(head->target->str, GOSSIP_PATH) == 0) {
+        answer_gossip(endpoint);
+    }
+    else {
+        answer_snapshot(endpoint);
+    }
+}
+
 static void
 endpoint_conn_free(struct endpoint_conn *endpoint)
 {
     LIST_REMOVE(endpoint, link);
+    g_string_free(endpoint->body, TRUE);
     CmH1Conn_FinishAfterWrite(&endpoint->conn);
     g_free(endpoint);
 }
 
+static void
+on_head(void *context, const struct cm_h1_head *head)
+{
+    struct endpoint_conn *endpoint = context;
+    g_string_truncate(endpoint->body, 0);
+}
+
+static void
+on_body(void *context, const void *data, size_t size)
+{
+    struct endpoint_conn *endpoint = context;
+    // A longer body is malformed, also in its first part.
+    if (endpoint->body->len <= CM_EXCHANGE_BYTES_MAX) {
+        g_string_append_len(endpoint->body, data, (gssize)size);
+    }
+}
+
 static void
 on_message_complete(void *context)
 {
@@ -90,8 +135,11 @@
     endpoint_conn_free(context);
 }
 
-static const struct cm_h1_handler handler = {
-    .message_complete = on_message_complete, .closed = on_closed};
+static const struct cm_h1_handler handler = {.head = on_head,
+                                             .body = on_body,
+                                             .message_complete =
+                                                 on_message_complete,
+                                             .closed = on_closed};
 
 static void
 accept_conn(struct gateway *gateway, evutil_socket_t fd,
@@ -101,6 +149,7 @@
     LIST_INSERT_HEAD(&gateway->endpoint_conns, endpoint, link);
     endpoint->gateway = gateway;
     endpoint->answer = answer;
+    endpoint->body = g_string_new(NULL);
     CmH1Conn_Accept(&endpoint->conn, gateway->base, fd, &handler, endpoint);
 }
 
@@ -119,7 +168,7 @@
 static void
 on_control_accept(void *context, evutil_socket_t fd)
 {
-    accept_conn(context, fd, answer_snapshot);
+    accept_conn(context, fd, answer_control);
 }
 
 static void
@@ -164,6 +213,17 @@
                    "Attempts that followed another one.");
     CmCounters_Add(all, &count->leases, "cm_gateway_leases_total",
                    "Adapters asked for at agents.");
+    CmCounters_Add(all, &count->target_crashes,
+                   "cm_gateway_target_crashes_total",
+                   "Targets that crashed and cut off requests.");
+    CmCounters_Add(all, &count->quarantine_refusals,
+                   "cm_gateway_quarantine_refusals_total",
+                   "Requests refused as their content crashes targets.");
+    CmCounters_Add(all, &count->gossip_bytes, "cm_gateway_gossip_bytes_total",
+                   "Bytes of crash records and polls sent to gateways.");
+    CmCounters_AddGauge(all, &count->quarantined,
+                        "cm_gateway_quarantined_contents",
+                        "Contents that are refused.");
     CmCounters_AddGauge(all, &count->connections, "cm_gateway_connections",
                         "Open connections of callers.");
     CmCounters_AddGauge(all, &count->config_version,
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -5,6 +5,8 @@
 /// caller_conns.c reads requests and passes them to request.c. placement.c
 /// picks a target for each attempt, lease.c acquires the adapter there, and
 /// target_call.c sends the request. responses.c writes to the caller.
+/// crash_watch.c finds contents that crash their targets, and peer_gossip.c
+/// shares what it records with the other gateways.
 /// store_watches.c maintains the tables that placement.c reads. While the
 /// store is unreachable at startup, peer_fetch.c fills them from a snapshot
 /// of another gateway. gateway_main.c initializes all of these.
@@ -24,11 +26,15 @@
 #include "h1/listener.h"
 #include "h1/pool.h"
 #include "peer_fetch_defs.h"
+#include "quarantine/gossip.h"
 #include "store.h"
 
 struct request;
 struct caller_conn;
 
+/// Crashes of targets after which a content is refused: the platform's limit.
+#define GATEWAY_CRASHES_TO_REFUSE 3
+
 /// Counters in the metrics output.
 struct gateway_counters {
     struct cm_counters all;
@@ -41,6 +47,10 @@
     struct cm_counter sends;
     struct cm_counter retries;
     struct cm_counter leases;
+    struct cm_counter target_crashes;
+    struct cm_counter quarantine_refusals;
+    struct cm_counter gossip_bytes;
+    struct cm_counter quarantined;
     struct cm_counter connections;
     struct cm_counter config_version;
 };
@@ -80,6 +90,13 @@
     struct cm_h1_listener admin_listener;
     struct cm_h1_listener control_listener;
     struct peer_fetch peer_fetch;
+    struct cm_quarantine quarantine;
+    struct cm_gossip gossip;
+    LIST_HEAD(, gossip_call) gossip_calls;
+    struct event *push_timer; ///< of crash records to peers
+    int64_t ticks;
+    /// Targets that cut off requests and may have crashed.
+    LIST_HEAD(, crash_suspicion) crash_suspicions;
     /// Connections for readiness, metrics and snapshots.
     LIST_HEAD(, endpoint_conn) endpoint_conns;
     TAILQ_HEAD(, caller_conn) callers;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -11,15 +11,19 @@
 #include "base/log.h"
 #include "config/program.h"
 #include "caller_conns.h"
+#include "crash_watch.h"
 #include "endpoints.h"
 #include "gateway.h"
 #include "lease.h"
 #include "peer_fetch.h"
+#include "peer_gossip.h"
 #include "reload.h"
 #include "store_watches.h"
 
 /// Interval of base model checks and shutdown progress.
 #define TICK_INTERVAL_MS 200
+/// Ticks between polls of a peer for crash records: 1 s.
+#define POLL_TICKS 5
 /// Interval of checks for a changed settings file and idle pool connections.
 #define SWEEP_INTERVAL_MS 2000
 /// Number of gateways assumed until an agent has reported it. All gateways
@@ -138,6 +142,9 @@
 {
     struct gateway *gateway = context;
     load_missing_models(gateway);
+    if (gateway->ticks++ % POLL_TICKS == 0) {
+        PeerGossip_Poll(gateway);
+    }
     advance_shutdown(gateway);
 }
 
@@ -186,6 +193,8 @@
                    (int)settings->agent_port);
     StoreWatch_Init(gateway);
     PeerFetch_Init(gateway);
+    CrashWatch_Init(gateway);
+    PeerGossip_Init(gateway);
     CmProgram_FileChanged(settings->common.path, &gateway->settings_stamp);
     gateway->tick = event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
     gateway->sweep =
@@ -211,6 +220,8 @@
     CallerConns_Finish(gateway);
     Endpoints_Finish(gateway);
     PeerFetch_Finish(gateway);
+    PeerGossip_Finish(gateway);
+    CrashWatch_Finish(gateway);
     StoreWatch_Finish(gateway);
     Lease_CancelCalls(gateway);
     CmH1Pool_Finish(&gateway->pool);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "crash_watch.h"
 #include "lease.h"
 #include "placement.h"
 #include "responses.h"
@@ -33,6 +34,8 @@
 /// Digits of a fingerprint in a log line.
 #define FINGERPRINT_LOG_LENGTH 12
 
+#define CRASHING_CONTENT_REASON "its content has crashed several targets"
+
 #define STATUS_OK 200
 #define STATUS_REDIRECT 300
 #define STATUS_BAD_REQUEST 400
@@ -167,6 +170,11 @@
 Request_SendTo(struct request *request, struct cm_live_target *target)
 {
     struct timespec now = Gateway_Now(request->gateway);
+    // Other gateways may have learned more since the request arrived.
+    if (CrashWatch_Refuses(request)) {
+        Request_GiveUp(request, CRASHING_CONTENT_REASON);
+        return;
+    }
     if (request->sends > 0) {
         struct cm_retry_window *window =
             Gateway_RetryWindow(request->gateway, request->service);
@@ -201,6 +209,9 @@
     if (events->len > 0) {
         request->phase = REQUEST_STREAMING;
         request->last_event_at = Gateway_Now(request->gateway);
+        if (attempt->first_event_at.tv_sec == 0) {
+            attempt->first_event_at = request->last_event_at;
+        }
         if (request->first_event_at.tv_sec == 0) {
             request->first_event_at = request->last_event_at;
             Request_CountLatency(request, LATENCY_FIRST_EVENT);
@@ -312,6 +323,7 @@
     if (is_success(request, end)) {
         CmTarget_CountAnswer(request->attempt.target, false,
                              Gateway_Now(request->gateway));
+        CrashWatch_CountCompleted(request);
         if (request->route->stream) {
             Response_EndStream(request);
         }
@@ -320,7 +332,14 @@
         }
         return;
     }
-    retry_or_fail(request, classify(request, end));
+    enum cm_attempt_end attempt_end = classify(request, end);
+    if (end == CM_H1_CALL_INTERRUPTED && attempt_end == CM_ATTEMPT_LOST) {
+        CrashWatch_CountCutOff(request);
+    }
+    else if (attempt_end == CM_ATTEMPT_FAILED) {
+        CrashWatch_CountCompleted(request);
+    }
+    retry_or_fail(request, attempt_end);
 }
 
 static void
@@ -483,6 +502,11 @@
         Response_SendLocal(request, STATUS_UNAVAILABLE, "the gateway stops");
         return;
     }
+    if (CrashWatch_Refuses(request)) {
+        Response_SendLocal(request, STATUS_UNAVAILABLE,
+                           CRASHING_CONTENT_REASON);
+        return;
+    }
     Request_Place(request);
 }
 
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -41,6 +41,7 @@
     GString *head; ///< response head for the caller
     GString *body; ///< of an unstreamed response
     struct timespec sent_at;
+    struct timespec first_event_at; ///< of this attempt; 0 for none
     bool has_head;
     bool invalid; ///< malformed stream, or body too large
 };
@@ -71,6 +72,7 @@
     bool busy_is_final;        ///< a busy reply rules this engine out
     int64_t min_queue_wait_ms; ///< shortest that agents reported; 0 for none
     bool caller_stalled;       ///< too much output is unread by the caller
+    bool quarantined;          ///< refused, as its content crashes targets
     /// Identifies the content, see Request_Fingerprint(); "" until computed.
     char fingerprint[CM_DIGEST_SIZE];
     /// The stream's head was sent without "Connection: close".
--- a/programs/coriandermoor/gateway/responses.c
+++ b/programs/coriandermoor/gateway/responses.c
@@ -44,9 +44,13 @@
     CallerConn_EndResponse(caller, keep);
 }
 
+/// @return -1 if the caller is not to retry.
 static int64_t
 retry_after_ms(struct request *request)
 {
+    if (request->quarantined) {
+        return -1;
+    }
     return CmRetryAfter_Ms(request->min_queue_wait_ms,
                            g_rand_double(request->gateway->random));
 }
--- a/programs/coriandermoor/gateway/store_watches.c
+++ b/programs/coriandermoor/gateway/store_watches.c
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "catalog_codec.h"
+#include "crash_watch.h"
 #include "target_codec.h"
 
 /// Pause between two watch calls for the configuration. Batches a burst of
@@ -121,6 +122,7 @@
         return;
     }
     if (known != target) {
+        CrashWatch_CountStart(gateway, target);
         target->model_missing_since = Gateway_Now(gateway);
         CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
                     "new target %s of service %s at %s in zone %s", name,
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -3,6 +3,8 @@
 
 #include "target_call.h"
 
+#include "crash_watch.h"
+
 /// Largest response body that is buffered before it is forwarded.
 #define BODY_MAX_BYTES ((gsize)8 * 1024 * 1024)
 /// Longest idle time of a pooled connection that is reused. A request that
@@ -31,6 +33,7 @@
         return false;
     }
     attempt->has_head = true;
+    CrashWatch_CountResponse(request);
     if (attempt->response.has_load) {
         CmTarget_SetReportedLoad(attempt->target, attempt->response.running,
                                  attempt->response.waiting,
@@ -109,6 +112,7 @@
     attempt->response = (struct cm_target_response){0};
     attempt->invalid = false;
     attempt->sent_at = now;
+    attempt->first_event_at = (struct timespec){0};
     struct cm_h1_call_request call = {
         .address = target->address,
         .message = message,
