feat(gateway): weigh late crashes half, list and lift verdicts

Cause: three ends of targets in a row under one slow request, none of them its fault, would have been held against its content; and an operator had no way to see or lift a verdict.

Change: a crash that comes later in a run than half of the route's target latency counts half, as a content crashes a target when it starts to run.

--- a/packages/quarantine/include/quarantine/crash_record.h
+++ b/packages/quarantine/include/quarantine/crash_record.h
@@ -31,6 +31,9 @@
 struct cm_crash_run {
     char content[CM_CONTENT_SIZE];
     int64_t ran_ms; ///< time from its send until the target ended
+    /// The target ended long after the run started. A content crashes a target
+    /// when it starts to run, so this is weak evidence.
+    bool late;
 };
 
 struct cm_crash_record {
@@ -58,7 +61,7 @@
 /// Adds a run, unless the record is full.
 void
 CmCrashRecord_AddRun(struct cm_crash_record *record, const char *content,
-                     int64_t ran_ms);
+                     int64_t ran_ms, bool late);
 
 /// @return whether `content` is among the record's runs.
 bool
--- a/packages/quarantine/include/quarantine/verdict.h
+++ b/packages/quarantine/include/quarantine/verdict.h
@@ -9,6 +9,8 @@
 /// - Runs of one content that overlap in time count once, as racks end all
 ///   their targets at the same moment. A content that crashes its targets
 ///   comes again afterwards.
+/// - A crash late in a run counts half, since a content crashes a target when
+///   it starts to run.
 /// - Crashes in which a convicted content ran don't count for others.
 /// - A crash doesn't count while another content that was in as many crashes
 ///   ran in it, too: the next crash of either tells them apart.
@@ -24,13 +26,13 @@
 /// since.
 struct cm_suspect {
     char content[CM_CONTENT_SIZE];
-    int crashes; ///< that count against it
+    int crashes; ///< in which it ran
     bool refused;
     struct timespec last_crash;
     char observers[CM_CRASH_NAME_SIZE]; ///< of its crashes, comma-separated
 };
 
-/// @param crashes after which a content is refused.
+/// @param crashes after which a content is refused, twice as many late ones.
 /// @return content to struct cm_suspect, which the table owns.
 GHashTable *
 CmVerdict_Compute(const struct cm_crash_records *records, int crashes);
--- a/packages/quarantine/src/crash_record.c
+++ b/packages/quarantine/src/crash_record.c
@@ -28,7 +28,7 @@
 
 void
 CmCrashRecord_AddRun(struct cm_crash_record *record, const char *content,
-                     int64_t ran_ms)
+                     int64_t ran_ms, bool late)
 {
     if (record->n_runs >= CM_CRASH_RUNS_MAX) {
         return;
@@ -38,6 +38,7 @@
     struct cm_crash_run *run = &record->runs[record->n_runs++];
     g_strlcpy(run->content, content, sizeof(run->content));
     run->ran_ms = ran_ms;
+    run->late = late;
 }
 
 bool
--- a/packages/quarantine/src/exchange.c
+++ b/packages/quarantine/src/exchange.c
@@ -74,8 +74,9 @@
     json_t *runs = json_array();
     for (size_t i = 0; i < record->n_runs; i++) {
         json_array_append_new(runs,
-                              json_pack("[s,I]", record->runs[i].content,
-                                        (json_int_t)record->runs[i].ran_ms));
+                              json_pack("[s,I,b]", record->runs[i].content,
+                                        (json_int_t)record->runs[i].ran_ms,
+                                        (int)record->runs[i].late));
     }
     return json_pack("{s:o,s:s,s:I,s:s,s:s,s:o}", "id", encode_hex(record->id),
                      "kind", kind_names[record->kind], "age_ms",
@@ -138,11 +139,12 @@
     {
         const char *content;
         json_int_t ran_ms;
-        if (json_unpack(run, "[s,I]", &content, &ran_ms) != 0 || ran_ms < 0 ||
-            ran_ms > CM_QUARANTINE_EXPIRY_MS) {
+        int late;
+        if (json_unpack(run, "[s,I,b]", &content, &ran_ms, &late) != 0 ||
+            ran_ms < 0 || ran_ms > CM_QUARANTINE_EXPIRY_MS) {
             return false;
         }
-        CmCrashRecord_AddRun(record, content, ran_ms);
+        CmCrashRecord_AddRun(record, content, ran_ms, late != 0);
     }
     return true;
 }
--- a/packages/quarantine/src/gossip.c
+++ b/packages/quarantine/src/gossip.c
@@ -188,7 +188,7 @@
                           record->observer, record->at);
     for (size_t i = 0; i < record->n_runs; i++) {
         CmCrashRecord_AddRun(copy, record->runs[i].content,
-                             record->runs[i].ran_ms);
+                             record->runs[i].ran_ms, record->runs[i].late);
     }
     TAILQ_INSERT_TAIL(&exchange->records, copy, link);
 }
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -188,7 +188,7 @@
     struct cm_crash_record *record = CmCrashRecord_New(
         CM_CRASH_RECORD_CRASH, CmHash_Text(crash, 0), crash, "", now);
     for (size_t i = 0; i < n; i++) {
-        CmCrashRecord_AddRun(record, contents[i], 0);
+        CmCrashRecord_AddRun(record, contents[i], 0, false);
     }
     CmQuarantine_Add(quarantine, record, now);
 }
@@ -204,7 +204,7 @@
     uint64_t id = CmHash_Bytes(&now, sizeof(now), CmHash_Text(content, 0));
     struct cm_crash_record *record =
         CmCrashRecord_New(CM_CRASH_RECORD_COMPLETED, id, "", "", now);
-    CmCrashRecord_AddRun(record, content, 0);
+    CmCrashRecord_AddRun(record, content, 0, false);
     CmQuarantine_Add(quarantine, record, now);
 }
 
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -17,9 +17,15 @@
     bool explained; ///< a convicted content ran in it
 };
 
+/// What a crash counts against a content, twice as much if the run had just
+/// started as if the target ended late in it.
+#define EARLY_WEIGHT 2
+#define LATE_WEIGHT 1
+
 /// Part of one content in one crash.
 struct involvement {
     struct crash *crash;
+    int weight;
     struct timespec from; ///< when the run was sent
     struct timespec to;   ///< when the target ended
 };
@@ -28,6 +34,7 @@
 struct candidate {
     struct cm_suspect *suspect;
     GArray *involvements; ///< of struct involvement
+    int weight;           ///< of its unexplained crashes
 };
 
 static void
@@ -40,7 +47,7 @@
 
 /// Working state of one computation.
 struct inquiry {
-    int threshold;
+    int threshold;          ///< weight that convicts
     GHashTable *alive;      ///< target to the time of its last response
     GHashTable *cleared;    ///< content to the end of its last good run
     GHashTable *crashes;    ///< target to struct crash
@@ -137,7 +144,8 @@
     struct candidate *candidate = find_or_add_candidate(inquiry, run->content);
     struct cm_suspect *suspect = candidate->suspect;
     struct involvement involvement = {
-        crash, CmTime_AddMs(record->at, -run->ran_ms), record->at};
+        crash, run->late ? LATE_WEIGHT : EARLY_WEIGHT,
+        CmTime_AddMs(record->at, -run->ran_ms), record->at};
     name_observer(suspect, record->observer);
     if (CmTime_Before(suspect->last_crash, record->at)) {
         suspect->last_crash = record->at;
@@ -149,6 +157,7 @@
         }
     }
     g_array_append_val(candidate->involvements, involvement);
+    suspect->crashes++;
 }
 
 static void
@@ -199,21 +208,20 @@
     for (guint i = 0; rivals != NULL && i < rivals->len; i++) {
         const struct candidate *rival = g_ptr_array_index(rivals, i);
         if (rival != candidate && !rival->suspect->refused &&
-            rival->suspect->crashes >= candidate->suspect->crashes &&
-            was_in(rival, crash)) {
+            rival->weight >= candidate->weight && was_in(rival, crash)) {
             return true;
         }
     }
     return false;
 }
 
-/// @return the number of unexplained crashes of a candidate. Those with
+/// @return the weight of a candidate's unexplained crashes. Those with
 /// overlapping runs count once, those that one of `rivals` may have caused not
 /// at all.
 static int
-count_crashes(const struct candidate *candidate, const GPtrArray *rivals)
+weigh_crashes(const struct candidate *candidate, const GPtrArray *rivals)
 {
-    int count = 0;
+    int weight = 0;
     struct timespec last_end = {0};
     for (guint i = 0; i < candidate->involvements->len; i++) {
         const struct involvement *involvement =
@@ -222,13 +230,13 @@
             is_ambiguous(candidate, involvement->crash, rivals)) {
             continue;
         }
-        if (count == 0 || CmTime_DiffMs(last_end, involvement->from) <=
-                              OVERLAP_TOLERANCE_MS) {
-            count++;
+        if (weight == 0 || CmTime_DiffMs(last_end, involvement->from) <=
+                               OVERLAP_TOLERANCE_MS) {
+            weight += involvement->weight;
             last_end = involvement->to;
         }
     }
-    return count;
+    return weight;
 }
 
 static void
@@ -249,13 +257,13 @@
     for (guint i = 0; i < repeated->len; i++) {
         struct candidate *candidate = g_ptr_array_index(repeated, i);
         if (!candidate->suspect->refused) {
-            candidate->suspect->crashes = count_crashes(candidate, NULL);
+            candidate->weight = weigh_crashes(candidate, NULL);
         }
     }
     for (guint i = 0; i < repeated->len; i++) {
         struct candidate *candidate = g_ptr_array_index(repeated, i);
         if (!candidate->suspect->refused &&
-            count_crashes(candidate, repeated) >= inquiry->threshold) {
+            weigh_crashes(candidate, repeated) >= inquiry->threshold) {
             convict(candidate);
             return true;
         }
@@ -273,8 +281,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct candidate *candidate = value;
         g_array_sort(candidate->involvements, compare_ends);
-        candidate->suspect->crashes = count_crashes(candidate, NULL);
-        if (candidate->suspect->crashes >= inquiry->threshold) {
+        candidate->weight = weigh_crashes(candidate, NULL);
+        if (candidate->weight >= inquiry->threshold) {
             g_ptr_array_add(repeated, candidate);
         }
     }
@@ -287,7 +295,7 @@
 CmVerdict_Compute(const struct cm_crash_records *records, int crashes)
 {
     struct inquiry inquiry = {
-        .threshold = crashes,
+        .threshold = crashes * EARLY_WEIGHT,
         .alive = g_hash_table_new(g_str_hash, g_str_equal),
         .cleared = g_hash_table_new(g_str_hash, g_str_equal),
         .crashes =
--- a/packages/quarantine/tests/gossip_test.c
+++ b/packages/quarantine/tests/gossip_test.c
@@ -217,9 +217,9 @@
         CmCrashRecord_New(CM_CRASH_RECORD_CRASH, id, target, gateway->address,
                           simulation->clock.now);
     if (content != NULL) {
-        CmCrashRecord_AddRun(record, content, 1);
+        CmCrashRecord_AddRun(record, content, 1, false);
     }
-    CmCrashRecord_AddRun(record, other, 20);
+    CmCrashRecord_AddRun(record, other, 20, false);
     CmGossip_Observe(&gateway->gossip, record, simulation->clock.now);
 }
 
@@ -371,7 +371,7 @@
         "{\"from\":\"a\",\"digest\":\"0000000000000000\",\"peers\":[],"
         "\"records\":[{\"id\":\"0000000000000001\",\"kind\":\"crash\","
         "\"age_ms\":1,\"target\":\"t\",\"observer\":\"o\","
-        "\"runs\":[[\"c\"]]}]}",
+        "\"runs\":[[\"c\",1]]}]}",
     };
     struct timespec now = {.tv_sec = START_MS};
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/packages/quarantine/tests/quarantine_test.c
+++ b/packages/quarantine/tests/quarantine_test.c
@@ -13,6 +13,9 @@
 /// Time of the first record.
 #define START_MS 1000000
 
+/// Run time from which on a crash counts as late.
+#define LATE_MS 100
+
 /// One record of a case. `contents` has one letter per content, each running
 /// for `ran_ms` when the target ended.
 struct entry {
@@ -114,6 +117,19 @@
       {20, CRASH, "t3", "c", 2},
       {30, ALIVE, "t2", "", 0}},
      ""},
+    {"cut off late in three runs, beside nothing else",
+     {{0, CRASH, "t1", "c", 200},
+      {300, CRASH, "t2", "c", 250},
+      {900, CRASH, "t3", "c", 150}},
+     ""},
+    {"cut off late in six runs",
+     {{0, CRASH, "t1", "p", 200},
+      {300, CRASH, "t2", "p", 200},
+      {600, CRASH, "t3", "p", 200},
+      {900, CRASH, "t4", "p", 200},
+      {1200, CRASH, "t5", "p", 200},
+      {1500, CRASH, "t6", "p", 200}},
+     "p"},
     {"lifted by an operator",
      {{0, CRASH, "t1", "p", 2},
       {9, CRASH, "t2", "p", 2},
@@ -139,7 +155,8 @@
                           CmTime_AddMs(start, entry->at_ms));
     for (const char *letter = entry->contents; *letter != '\0'; letter++) {
         char content[2] = {*letter, '\0'};
-        CmCrashRecord_AddRun(record, content, entry->ran_ms);
+        CmCrashRecord_AddRun(record, content, entry->ran_ms,
+                             entry->ran_ms >= LATE_MS);
     }
     return record;
 }
--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -31,10 +31,15 @@
 /// target: a content does so when it starts to run.
 #define STREAMING_SAFE_MS 1000
 
+/// A crash is late in a run after this part of the route's target latency,
+/// within which even a queued run has started.
+#define LATE_DIVISOR 2
+
 /// A run that was cut off.
 struct cut_off {
     char content[CM_DIGEST_SIZE];
     struct timespec sent_at;
+    int64_t late_ms; ///< time from its send from which on a crash is late
 };
 
 enum suspicion_state {
@@ -129,9 +134,9 @@
     for (guint i = 0; i < suspicion->runs->len; i++) {
         const struct cut_off *run =
             &g_array_index(suspicion->runs, struct cut_off, i);
-        CmCrashRecord_AddRun(
-            record, run->content,
-            CmTime_DiffMs(suspicion->last_cut_off, run->sent_at));
+        int64_t ran_ms = CmTime_DiffMs(suspicion->last_cut_off, run->sent_at);
+        CmCrashRecord_AddRun(record, run->content, ran_ms,
+                             ran_ms > run->late_ms);
     }
     CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
                 "%s at %s crashed and cut off %u requests, which are suspects",
@@ -275,7 +280,9 @@
     else if (suspicion->state == SUSPICION_CONFIRMED) {
         set_timer(suspicion, COLLECT_MS);
     }
-    struct cut_off run = {.sent_at = attempt->sent_at};
+    struct cut_off run = {.sent_at = attempt->sent_at,
+                          .late_ms = request->route->target_latency_ms /
+                                     LATE_DIVISOR};
     g_strlcpy(run.content, Request_Fingerprint(request), sizeof(run.content));
     g_array_append_val(suspicion->runs, run);
     suspicion->last_cut_off = now;
@@ -310,7 +317,7 @@
     if (CmQuarantine_Find(&gateway->quarantine, content) != NULL) {
         struct cm_crash_record *record = new_record(
             gateway, CM_CRASH_RECORD_COMPLETED, "", Gateway_Now(gateway));
-        CmCrashRecord_AddRun(record, content, 0);
+        CmCrashRecord_AddRun(record, content, 0, false);
         PeerGossip_Observe(gateway, record);
     }
 }
@@ -378,6 +385,21 @@
     return true;
 }
 
+bool
+CrashWatch_Lift(struct gateway *gateway, const char *content)
+{
+    if (!CmQuarantine_IsRefused(&gateway->quarantine, content)) {
+        return false;
+    }
+    CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
+                "an operator lifts the verdict on content %s", content);
+    struct cm_crash_record *record =
+        new_record(gateway, CM_CRASH_RECORD_LIFTED, "", Gateway_Now(gateway));
+    CmCrashRecord_AddRun(record, content, 0, false);
+    PeerGossip_Observe(gateway, record);
+    return true;
+}
+
 static void
 on_decided(void *context, const struct cm_suspect *suspect, bool refused)
 {
--- a/programs/coriandermoor/gateway/crash_watch.h
+++ b/programs/coriandermoor/gateway/crash_watch.h
@@ -37,4 +37,9 @@
 bool
 CrashWatch_Refuses(struct request *request);
 
+/// Lifts the verdict on a content at all gateways.
+/// @return whether it was refused.
+bool
+CrashWatch_Lift(struct gateway *gateway, const char *content);
+
 #endif
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -6,17 +6,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "crash_watch.h"
 #include "h1/conn.h"
 #include "h1/writer.h"
 #include "peer_gossip.h"
 #include "snapshot.h"
 
+#define QUARANTINE_PATH "/quarantine"
 #define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
 #define STATUS_BAD_REQUEST 400
 #define STATUS_UNAVAILABLE 503
 
 /// One connection to an endpoint. Each address has one response for all paths,
-/// except for the exchange of crash records at the control address.
+/// except for crash records at the control address and refused contents at the
+/// admin address.
 struct endpoint_conn {
     LIST_ENTRY(endpoint_conn) link;
     struct gateway *gateway;
@@ -68,6 +72,58 @@
     free(text);
 }
 
+/// A list of verdicts that is being composed.
+struct verdict_list {
+    json_t *verdicts;
+    struct timespec now;
+};
+
+static void
+append_verdict(void *context, const struct cm_suspect *suspect)
+{
+    const struct verdict_list *list = context;
+    json_array_append_new(
+        list->verdicts,
+        json_pack("{s:s,s:i,s:s,s:I}", "content", suspect->content, "crashes",
+                  suspect->crashes, "observers", suspect->observers,
+                  "last_crash_ms_ago",
+                  (json_int_t)CmTime_DiffMs(list->now, suspect->last_crash)));
+}
+
+/// Lists the refused contents, or lifts the verdict on one of them: DELETE of
+/// its name below this path.
+static void
+answer_quarantine(struct endpoint_conn *endpoint)
+{
+    struct gateway *gateway = endpoint->gateway;
+    const struct cm_h1_head *head = CmH1Conn_Head(&endpoint->conn);
+    const char *content = head->target->str + strlen(QUARANTINE_PATH);
+    if (strcmp(head->method, "DELETE") == 0) {
+        bool known = *content == '/' && CrashWatch_Lift(gateway, content + 1);
+        write_text(endpoint, known ? STATUS_OK : STATUS_NOT_FOUND,
+                   known ? "lifted\n" : "this content is not refused\n");
+        return;
+    }
+    struct verdict_list list = {json_array(), Gateway_Now(gateway)};
+    CmQuarantine_ForEach(&gateway->quarantine, append_verdict, &list);
+    char *text = json_dumps(list.verdicts, JSON_INDENT(1));
+    write_text(endpoint, STATUS_OK, text);
+    free(text);
+    json_decref(list.verdicts);
+}
+
+static void
+answer_admin(struct endpoint_conn *endpoint)
+{
+    const struct cm_h1_head *head = CmH1Conn_Head(&endpoint->conn);
+    if (g_str_has_prefix(head->target->str, QUARANTINE_PATH)) {
+        answer_quarantine(endpoint);
+    }
+    else {
+        answer_metrics(endpoint);
+    }
+}
+
 static void
 answer_snapshot(struct endpoint_conn *endpoint)
 {
@@ -162,7 +218,7 @@
 static void
 on_admin_accept(void *context, evutil_socket_t fd)
 {
-    accept_conn(context, fd, answer_metrics);
+    accept_conn(context, fd, answer_admin);
 }
 
 static void
--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -116,6 +116,8 @@
                   resumable=True, targetGapMs=300),
             route("once", "unsafe", "app", PLAIN_TIMEOUT_MS, 1),
             route("again", "safe", "app", PLAIN_TIMEOUT_MS, 2),
+            route("large", "safe", "app", PLAIN_TIMEOUT_MS, 2),
+            route("slow-once", "unsafe", "app", STREAM_TIMEOUT_MS, 1),
         ] + [route(name, "safe", "app", PLAIN_TIMEOUT_MS, 2)
              for name in self.extra_routes]
         services = [
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -204,6 +204,7 @@
         self.up = False
         self.draining = False
         self.runs = []  # [id, path, adapter, version, incarnation, time]
+        self.bodies_in_progress = []
         self.crashing_bodies = set()  # end the target that runs one of them
         self.crashes = []  # [id, body, time] of runs that ended the target
         self.restart_delay_s = 1.0  # after such a crash
@@ -296,10 +297,12 @@
         if await self.crash_by(headers, body):
             return None
         self.active_runs += 1
+        self.bodies_in_progress.append(body)
         try:
             await asyncio.sleep(self.service_time_s)
         finally:
             self.active_runs -= 1
+            self.bodies_in_progress.remove(body)
         if random.random() < self.lost_response_rate:
             self.lost_responses.append(headers.get("x-request-id"))
             return None
