fix(entry): a restarted entry keeps refusing a crashing content

Cause: agents report a crash once, to the entries that are connected. An entry that starts later, or was out of reach, never hears of it.

Change: entries compare their crash records with one peer a second (setting peers) by the module that the gateways use; completions that cleared a content travel along, so that no old crash is held against it again.

Evidence: scripts/e2e kills and starts an entry after the content was refused.

--- a/programs/coriandermoor/admin.c
+++ b/programs/coriandermoor/admin.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "crash_exchange.h"
 #include "link/traffic.h"
 #include "links.h"
 
@@ -346,6 +347,9 @@
     else if (strcmp(path, "/admin/status") == 0) {
         reply_status(entry, request);
     }
+    else if (strcmp(path, CRASH_RECORDS_PATH) == 0) {
+        CrashExchange_Reply(entry, request);
+    }
     else if (strcmp(path, "/admin/peer-state") == 0) {
         reply_peer_state(entry, request);
     }
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -21,7 +21,7 @@
 #include "revision/revisions.h"
 #include "routing/admission.h"
 #include "routing/outcome.h"
-#include "quarantine/quarantine.h"
+#include "quarantine/gossip.h"
 #include "routing/router.h"
 
 struct entry;
@@ -121,6 +121,15 @@
     struct cm_counter links;
 };
 
+/// Comparison of crash records with those of another entry.
+struct crash_poll {
+    struct cm_http_call call;
+    GString *body;
+    int status;
+    char peer[CM_CRASH_NAME_SIZE];
+    bool is_followup; ///< the second message, with the differing records
+};
+
 /// Poll of the peers' state, one peer at a time, while the object API is
 /// unreachable.
 struct peer_poll {
@@ -172,6 +181,8 @@
     struct cm_router router;
     struct cm_permits permits;
     struct cm_quarantine quarantine;
+    struct cm_gossip gossip;
+    struct crash_poll crash_poll;
     struct cm_admission admission;
     GHashTable *retry_budgets; ///< service name to struct cm_retry_budget
     struct cm_once once;
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -15,6 +15,7 @@
 #include "base/log.h"
 #include "callers.h"
 #include "config/program.h"
+#include "crash_exchange.h"
 #include "entry.h"
 #include "exchange.h"
 #include "fleet.h"
@@ -32,9 +33,6 @@
 /// Gap between two ticks from which on the process counts as suspended.
 #define SUSPENSION_MIN_MS 300
 #define ZMQ_SOCKETS_MAX 20000
-/// Crashes after which a content is refused. Agents report everything that ran
-/// on their target, so that two crashes are enough.
-#define CRASHES_TO_REFUSE 2
 #define MS_PER_S 1000
 #define STATUS_UNAVAILABLE 503
 
@@ -149,7 +147,7 @@
         Fleet_PollInstances(entry);
         PeerState_Poll(entry);
         WarmStart_SyncSnapshot(entry);
-        CmQuarantine_Expire(&entry->quarantine, Entry_Now(entry));
+        CrashExchange_Poll(entry);
     }
     if (entry->ticks % PREFETCH_TICKS == PREFETCH_TICKS / 2) {
         Fleet_PrefetchDependencies(entry);
@@ -208,7 +206,7 @@
     CmHttpObjects_Init(&entry->objects, &entry->client, settings->platform);
     CmRouter_Init(&entry->router, policy, entry->random);
     CmPermits_Init(&entry->permits, Entry_Now(entry));
-    CmQuarantine_Init(&entry->quarantine, CRASHES_TO_REFUSE, NULL, NULL);
+    CrashExchange_Init(entry);
     CmAdmission_Init(&entry->admission, (size_t)settings->waiting,
                      (size_t)settings->caller_share);
     CmOnce_Init(&entry->once, &entry->objects.base, entry->base, entry->clock,
@@ -246,7 +244,7 @@
     Fleet_Finish(entry);
     CmRouter_Finish(&entry->router);
     CmPermits_Finish(&entry->permits);
-    CmQuarantine_Finish(&entry->quarantine);
+    CrashExchange_Finish(entry);
     CmAdmission_Finish(&entry->admission);
     g_hash_table_destroy(entry->retry_budgets);
     g_hash_table_destroy(entry->streams);
