--- a/packages/quarantine/include/quarantine/gossip.h
+++ b/packages/quarantine/include/quarantine/gossip.h
@@ -38,7 +38,7 @@
     GArray *peers; ///< of struct cm_gossip_peer
     GArray
         *pending;  ///< of uint64_t, ids of records to push, urgent ones first
-    bool synced;     ///< has the records of another gateway
+    bool synced;   ///< has the records of another gateway
     double credit; ///< records that may be pushed now
     struct timespec credit_at;
 };
