perf(quarantine): hash only contents as long as a suspect

Change: a content's name has its size besides 64 bits of its digest, so that a request whose size no suspect has needs neither hash nor look-up.

--- a/packages/quarantine/include/quarantine/crash_record.h
+++ b/packages/quarantine/include/quarantine/crash_record.h
@@ -10,10 +10,8 @@
 #include <time.h>
 
 #include "base/list.h"
+#include "quarantine/content_name.h"
 
-/// Size of a content's name with the terminating NUL: 64 bits of its digest in
-/// hexadecimal. Longer names are truncated.
-#define CM_CONTENT_SIZE 17
 /// Size of the names of targets and observers; longer names are truncated.
 #define CM_CRASH_NAME_SIZE 64
 /// Most runs of one record: what an engine runs at once.
--- a/packages/quarantine/include/quarantine/quarantine.h
+++ b/packages/quarantine/include/quarantine/quarantine.h
@@ -28,7 +28,10 @@
     struct cm_crash_records records;
     size_t n_records;
     GHashTable *by_id;    ///< record id to struct cm_crash_record
+    GHashTable *counts;   ///< content to the number of its crash records
     GHashTable *suspects; ///< content to struct cm_suspect
+    GHashTable *sizes;    ///< sizes of the suspects' contents
+    bool outdated;        ///< the verdicts may have changed
     size_t n_refused;
     uint64_t digest; ///< of all record ids; equal for equal sets
     const struct cm_quarantine_listener *listener;
@@ -60,9 +63,10 @@
 void
 CmQuarantine_Expire(struct cm_quarantine *quarantine, struct timespec now);
 
-/// @return whether there are no suspects, so that no content needs a look-up.
+/// @return whether a suspect's content has this size. If not, the content
+/// needs no name and no look-up.
 bool
-CmQuarantine_IsEmpty(const struct cm_quarantine *quarantine);
+CmQuarantine_HasSize(const struct cm_quarantine *quarantine, size_t size);
 
 /// @return what is held against a content, or NULL.
 const struct cm_suspect *
--- a/packages/quarantine/include/quarantine/verdict.h
+++ b/packages/quarantine/include/quarantine/verdict.h
@@ -22,8 +22,7 @@
 
 #include "quarantine/crash_record.h"
 
-/// A content that was cut off by at least one crash and has not completed
-/// since.
+/// A content that crashes cut off and that has not completed since.
 struct cm_suspect {
     char content[CM_CONTENT_SIZE];
     int crashes; ///< in which it ran
@@ -33,8 +32,12 @@
 };
 
 /// @param crashes after which a content is refused, twice as many late ones.
+/// @param counts  content to the number of its crash records. Contents with
+///                fewer than `crashes - 1` can't be convicted soon and are
+///                left out.
 /// @return content to struct cm_suspect, which the table owns.
 GHashTable *
-CmVerdict_Compute(const struct cm_crash_records *records, int crashes);
+CmVerdict_Compute(const struct cm_crash_records *records, int crashes,
+                  GHashTable *counts);
 
 #endif
--- /dev/null
+++ b/packages/quarantine/src/content_name.c
@@ -0,0 +1,33 @@
+/// @file content_name.c
+/// Composes and reads names of contents.
+
+#include "quarantine/content_name.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/hash.h"
+
+#define DIGEST_LENGTH 16
+#define HEX_BASE 16
+
+void
+CmContentName_Compose(char name[CM_CONTENT_SIZE], const struct iovec *parts,
+                      size_t n)
+{
+    char digest[CM_DIGEST_SIZE];
+    size_t size = 0;
+    for (size_t i = 0; i < n; i++) {
+        size += parts[i].iov_len;
+    }
+    CmHash_DigestParts(parts, n, digest);
+    g_snprintf(name, CM_CONTENT_SIZE, "%.*s.%zx", DIGEST_LENGTH, digest, size);
+}
+
+size_t
+CmContentName_ContentSize(const char *name)
+{
+    const char *dot = strchr(name, '.');
+    return dot != NULL ? strtoul(dot + 1, NULL, HEX_BASE) : 0;
+}
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -14,8 +14,38 @@
         .crashes = crashes, .listener = listener, .context = context};
     TAILQ_INIT(&quarantine->records);
     quarantine->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
-    quarantine->suspects =
-        CmVerdict_Compute(&quarantine->records, quarantine->crashes);
+    quarantine->counts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    quarantine->sizes = g_hash_table_new(NULL, NULL);
+    quarantine->suspects = CmVerdict_Compute(
+        &quarantine->records, quarantine->crashes, quarantine->counts);
+}
+
+/// Counts the runs of a record that is added (1) or removed (-1).
+static void
+count_runs(struct cm_quarantine *quarantine,
+           const struct cm_crash_record *record, int change)
+{
+    if (record->kind != CM_CRASH_RECORD_CRASH) {
+        quarantine->outdated = true;
+        return;
+    }
+    for (size_t i = 0; i < record->n_runs; i++) {
+        const char *content = record->runs[i].content;
+        int before =
+            GPOINTER_TO_INT(g_hash_table_lookup(quarantine->counts, content));
+        int after = before + change;
+        if (MAX(before, after) >= quarantine->crashes - 1) {
+            quarantine->outdated = true;
+        }
+        if (after > 0) {
+            g_hash_table_replace(quarantine->counts, g_strdup(content),
+                                 GINT_TO_POINTER(after));
+        }
+        else {
+            g_hash_table_remove(quarantine->counts, content);
+        }
+    }
 }
 
 static void
@@ -25,6 +55,7 @@
     g_hash_table_remove(quarantine->by_id, &record->id);
     quarantine->n_records--;
     quarantine->digest ^= record->id;
+    count_runs(quarantine, record, -1);
     CmCrashRecord_Free(record);
 }
 
@@ -37,6 +68,8 @@
     }
     g_hash_table_destroy(quarantine->by_id);
     g_hash_table_destroy(quarantine->suspects);
+    g_hash_table_destroy(quarantine->sizes);
+    g_hash_table_destroy(quarantine->counts);
 }
 
 static const struct cm_suspect *
@@ -76,12 +109,30 @@
     return n_refused;
 }
 
+static void
+collect_sizes(struct cm_quarantine *quarantine)
+{
+    g_hash_table_remove_all(quarantine->sizes);
+    GHashTableIter iter;
+    void *content;
+    g_hash_table_iter_init(&iter, quarantine->suspects);
+    while (g_hash_table_iter_next(&iter, &content, NULL)) {
+        g_hash_table_add(quarantine->sizes,
+                         GSIZE_TO_POINTER(CmContentName_ContentSize(content)));
+    }
+}
+
 void
 CmQuarantine_Update(struct cm_quarantine *quarantine)
 {
+    if (!quarantine->outdated) {
+        return;
+    }
+    quarantine->outdated = false;
     GHashTable *before = quarantine->suspects;
-    quarantine->suspects =
-        CmVerdict_Compute(&quarantine->records, quarantine->crashes);
+    quarantine->suspects = CmVerdict_Compute(
+        &quarantine->records, quarantine->crashes, quarantine->counts);
+    collect_sizes(quarantine);
     report_changes(quarantine, before, quarantine->suspects, false);
     quarantine->n_refused =
         report_changes(quarantine, quarantine->suspects, before, true);
@@ -138,6 +189,7 @@
     g_hash_table_insert(quarantine->by_id, &record->id, record);
     quarantine->n_records++;
     quarantine->digest ^= record->id;
+    count_runs(quarantine, record, 1);
     if (quarantine->n_records > CM_QUARANTINE_RECORDS_MAX) {
         drop_oldest(quarantine);
     }
@@ -161,9 +213,9 @@
 }
 
 bool
-CmQuarantine_IsEmpty(const struct cm_quarantine *quarantine)
+CmQuarantine_HasSize(const struct cm_quarantine *quarantine, size_t size)
 {
-    return g_hash_table_size(quarantine->suspects) == 0;
+    return g_hash_table_contains(quarantine->sizes, GSIZE_TO_POINTER(size));
 }
 
 const struct cm_suspect *
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -48,6 +48,8 @@
 /// Working state of one computation.
 struct inquiry {
     int threshold;          ///< weight that convicts
+    int min_records;        ///< of a content to be a suspect
+    GHashTable *counts;     ///< content to the number of its crash records
     GHashTable *alive;      ///< target to the time of its last response
     GHashTable *cleared;    ///< content to the end of its last good run
     GHashTable *crashes;    ///< target to struct crash
@@ -137,7 +139,9 @@
 add_run(struct inquiry *inquiry, const struct cm_crash_record *record,
         const struct cm_crash_run *run)
 {
-    if (is_superseded(inquiry->cleared, run->content, record->at)) {
+    if (GPOINTER_TO_INT(g_hash_table_lookup(inquiry->counts, run->content)) <
+            inquiry->min_records ||
+        is_superseded(inquiry->cleared, run->content, record->at)) {
         return;
     }
     struct crash *crash = find_or_add_crash(inquiry, record->target);
@@ -292,10 +296,13 @@
 }
 
 GHashTable *
-CmVerdict_Compute(const struct cm_crash_records *records, int crashes)
+CmVerdict_Compute(const struct cm_crash_records *records, int crashes,
+                  GHashTable *counts)
 {
     struct inquiry inquiry = {
         .threshold = crashes * EARLY_WEIGHT,
+        .min_records = crashes - 1,
+        .counts = counts,
         .alive = g_hash_table_new(g_str_hash, g_str_equal),
         .cleared = g_hash_table_new(g_str_hash, g_str_equal),
         .crashes =
--- a/packages/quarantine/tests/quarantine_test.c
+++ b/packages/quarantine/tests/quarantine_test.c
@@ -341,12 +341,55 @@
     g_string_free(seen, TRUE);
 }
 
+static void
+test_content_names(void)
+{
+    static const struct {
+        const char *parts[2];
+        size_t size;
+    } rows[] = {{{"", ""}, 0},
+                {{"a", "b"}, 2},
+                {{"ab", ""}, 2},
+                {{"0123456789abcdef", "0"}, 17}};
+    char names[G_N_ELEMENTS(rows)][CM_CONTENT_SIZE];
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct iovec parts[2];
+        for (size_t j = 0; j < 2; j++) {
+            parts[j] = (struct iovec){(void *)rows[i].parts[j],
+                                      strlen(rows[i].parts[j])};
+        }
+        CmContentName_Compose(names[i], parts, 2);
+        CU_ASSERT_EQUAL(CmContentName_ContentSize(names[i]), rows[i].size);
+    }
+    CU_ASSERT_STRING_EQUAL(names[1], names[2]);
+    CU_ASSERT_STRING_NOT_EQUAL(names[0], names[1]);
+    CU_ASSERT_EQUAL(CmContentName_ContentSize("a"), 0);
+}
+
+/// Only contents as long as a suspect need a look-up.
+static void
+test_sizes(void)
+{
+    struct cm_quarantine quarantine;
+    CmQuarantine_Init(&quarantine, CRASHES, NULL, NULL);
+    struct timespec now = {.tv_sec = START_MS};
+    const char *contents[] = {"0123456789abcdef.2f", "0123456789abcdef.30"};
+    CmQuarantine_RecordCrash(&quarantine, "c1", contents, 2, now);
+    CU_ASSERT_FALSE(CmQuarantine_HasSize(&quarantine, 0x2f));
+    CmQuarantine_RecordCrash(&quarantine, "c2", contents, 1, now);
+    CU_ASSERT_TRUE(CmQuarantine_HasSize(&quarantine, 0x2f));
+    CU_ASSERT_FALSE(CmQuarantine_HasSize(&quarantine, 0x30));
+    CmQuarantine_Finish(&quarantine);
+}
+
 static const struct cm_test tests[] = {
     {"verdicts", test_verdicts},
     {"reports of agents", test_reports_of_agents},
     {"clears and expires", test_clears_and_expires},
     {"bounded", test_bounded},
     {"listener", test_listener},
+    {"content names", test_content_names},
+    {"sizes", test_sizes},
 };
 
 CM_TEST_MAIN("quarantine", tests)
--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -37,7 +37,7 @@
 
 /// A run that was cut off.
 struct cut_off {
-    char content[CM_DIGEST_SIZE];
+    char content[CM_CONTENT_SIZE];
     struct timespec sent_at;
     int64_t late_ms; ///< time from its send from which on a crash is late
 };
@@ -283,44 +283,48 @@
     struct cut_off run = {.sent_at = attempt->sent_at,
                           .late_ms = request->route->target_latency_ms /
                                      LATE_DIVISOR};
-    g_strlcpy(run.content, Request_Fingerprint(request), sizeof(run.content));
+    g_strlcpy(run.content, Request_Content(request), sizeof(run.content));
     g_array_append_val(suspicion->runs, run);
     suspicion->last_cut_off = now;
 }
 
-/// Drops a content from the runs that are not recorded yet.
+/// Drops the request's content from the runs that are not recorded yet.
 static void
-forget_runs(struct gateway *gateway, const char *content)
+forget_runs(struct request *request)
 {
+    size_t size = Request_ContentSize(request);
     struct crash_suspicion *suspicion;
-    CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
+    CmList_FOREACH (suspicion, &request->gateway->crash_suspicions, link) {
         for (guint i = suspicion->runs->len; i > 0; i--) {
-            if (strcmp(g_array_index(suspicion->runs, struct cut_off, i - 1)
-                           .content,
-                       content) == 0) {
+            const char *content =
+                g_array_index(suspicion->runs, struct cut_off, i - 1).content;
+            if (CmContentName_ContentSize(content) == size &&
+                strcmp(content, Request_Content(request)) == 0) {
                 g_array_remove_index_fast(suspicion->runs, i - 1);
             }
         }
     }
 }
 
+/// @return what is held against the request's content, or NULL.
+static const struct cm_suspect *
+find_suspect(struct request *request)
+{
+    const struct cm_quarantine *quarantine = &request->gateway->quarantine;
+    return CmQuarantine_HasSize(quarantine, Request_ContentSize(request))
+               ? CmQuarantine_Find(quarantine, Request_Content(request))
+               : NULL;
+}
+
 void
 CrashWatch_CountCompleted(struct request *request)
 {
     struct gateway *gateway = request->gateway;
-    if (CmQuarantine_IsEmpty(&gateway->quarantine) &&
-        LIST_EMPTY(&gateway->crash_suspicions)) {
-        return;
-    }
-    const char *content = Request_Fingerprint(request);
-    forget_runs(gateway, content);
-    const struct cm_suspect *suspect =
-        CmQuarantine_Find(&gateway->quarantine, content);
-    // One crash says little, and many requests complete after it.
-    if (suspect != NULL && suspect->crashes > 1) {
+    forget_runs(request);
+    if (find_suspect(request) != NULL) {
         struct cm_crash_record *record = new_record(
             gateway, CM_CRASH_RECORD_COMPLETED, "", Gateway_Now(gateway));
-        CmCrashRecord_AddRun(record, content, 0, false);
+        CmCrashRecord_AddRun(record, Request_Content(request), 0, false);
         PeerGossip_Observe(gateway, record);
     }
 }
@@ -374,7 +378,7 @@
         return false;
     }
     const struct cm_suspect *suspect =
-        CmQuarantine_Find(&gateway->quarantine, Request_Fingerprint(request));
+        CmQuarantine_Find(&gateway->quarantine, Request_Content(request));
     if (suspect == NULL || !suspect->refused) {
         return false;
     }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -31,9 +31,6 @@
 /// Output buffered for a caller beyond which its stream is aborted.
 #define UNREAD_MAX_BYTES ((size_t)1024 * 1024)
 
-/// Digits of a fingerprint in a log line.
-#define FINGERPRINT_LOG_LENGTH 12
-
 #define CRASHING_CONTENT_REASON "its content has crashed several targets"
 
 #define STATUS_OK 200
@@ -88,24 +85,46 @@
     return CmTime_DiffMs(request->deadline, Gateway_Now(request->gateway));
 }
 
+/// Parts of what identifies a request that comes again under a new id.
+#define CONTENT_PARTS 5
+
+/// Splits the request's content into its parts, without copying them.
+static void
+split_content(const struct request *request, struct iovec parts[CONTENT_PARTS])
+{
+    const struct cm_h1_head *head = CmH1Conn_Head(&request->caller->conn);
+    const char *host = CmH1Head_Find(head, "Host");
+    const GString *body = request->caller->body;
+    // Neither host nor path can contain the separator.
+    struct iovec separator = {(void *)"\n", 1};
+    parts[0] = (struct iovec){(void *)host, host != NULL ? strlen(host) : 0};
+    parts[1] = separator;
+    parts[2] = (struct iovec){head->target->str, head->target->len};
+    parts[3] = separator;
+    parts[4] = (struct iovec){body->str, body->len};
+}
+
+size_t
+Request_ContentSize(const struct request *request)
+{
+    struct iovec parts[CONTENT_PARTS];
+    size_t size = 0;
+    split_content(request, parts);
+    for (size_t i = 0; i < CONTENT_PARTS; i++) {
+        size += parts[i].iov_len;
+    }
+    return size;
+}
+
 const char *
-Request_Fingerprint(struct request *request)
+Request_Content(struct request *request)
 {
-    if (request->fingerprint[0] == '\0') {
-        const struct cm_h1_head *head = CmH1Conn_Head(&request->caller->conn);
-        const char *host = CmH1Head_Find(head, "Host");
-        const GString *body = request->caller->body;
-        // Neither host nor path can contain the separator.
-        struct iovec parts[] = {
-            {(void *)host, host != NULL ? strlen(host) : 0},
-            {(void *)"\n", 1},
-            {head->target->str, head->target->len},
-            {(void *)"\n", 1},
-            {body->str, body->len},
-        };
-        CmHash_DigestParts(parts, G_N_ELEMENTS(parts), request->fingerprint);
-    }
-    return request->fingerprint;
+    if (request->content[0] == '\0') {
+        struct iovec parts[CONTENT_PARTS];
+        split_content(request, parts);
+        CmContentName_Compose(request->content, parts, CONTENT_PARTS);
+    }
+    return request->content;
 }
 
 void
@@ -276,10 +295,10 @@
     struct cm_live_target *target = CmTarget_Ref(request->attempt.target);
     struct timespec now = Gateway_Now(request->gateway);
     CmLog_Event(G_LOG_LEVEL_INFO, "attempt", request->parsed.id,
-                "%s at %s: %s, status %d, content %.*s", target->id,
+                "%s at %s: %s, status %d, content %s", target->id,
                 target->address, attempt_end_text(end),
-                request->attempt.response.status, FINGERPRINT_LOG_LENGTH,
-                end == CM_ATTEMPT_LOST ? Request_Fingerprint(request) : "-");
+                request->attempt.response.status,
+                end == CM_ATTEMPT_LOST ? Request_Content(request) : "-");
     if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_REJECTED) {
         request->retry.runs--;
     }
--- a/programs/coriandermoor/gateway/request.h
+++ b/programs/coriandermoor/gateway/request.h
@@ -31,10 +31,14 @@
 Request_CountLatency(const struct request *request,
                      enum gateway_latency latency);
 
-/// @return the digest of what identifies a request that comes again under a
-/// new id: host, path with query, and body. Computed on first use.
+/// @return the name of what identifies a request that comes again under a new
+/// id: host, path with query, and body. Computed on first use.
 const char *
-Request_Fingerprint(struct request *request);
+Request_Content(struct request *request);
+
+/// @return the size of that content.
+size_t
+Request_ContentSize(const struct request *request);
 
 /// Excludes a target from further attempts of this request.
 void
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -5,7 +5,6 @@
 #ifndef GATEWAY_REQUEST_DEFS_H
 #define GATEWAY_REQUEST_DEFS_H
 
-#include "base/hash.h"
 #include "call_codec.h"
 #include "caller_conns.h"
 #include "dispatch/wait_limit.h"
@@ -73,8 +72,8 @@
     int64_t min_queue_wait_ms; ///< shortest that agents reported; 0 for none
     bool caller_stalled;       ///< too much output is unread by the caller
     bool quarantined;          ///< refused, as its content crashes targets
-    /// Identifies the content, see Request_Fingerprint(); "" until computed.
-    char fingerprint[CM_DIGEST_SIZE];
+    char
+        content[CM_CONTENT_SIZE]; ///< see Request_Content(); "" until computed
     /// The stream's head was sent without "Connection: close".
     bool keep_alive;
 };
