fix(platform,gateway): follow a store that comes back from an older copy

Seen: after the store had come back from a copy and given out its revisions again, gateways kept routes, draining marks and adapter versions of the lost history and never saw what was written again: a watch that was opened at a revision of before was accepted, and the changes up to it were skipped.

Cause: a watch resumed at its revision whatever the store had become; only a 410 made it list again.

Change: each response's Store-Era is decoded. Configuration, versions and draining marks never go back, as before. An entry of an unknown target in such a list is used once it is written again, as the target may have left.

--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -9,6 +9,7 @@
 #include "crash_watch.h"
 #include "h1/conn.h"
 #include "h1/writer.h"
+#include "peer_fetch.h"
 #include "peer_gossip.h"
 #include "snapshot.h"
 
@@ -19,8 +20,8 @@
 #define STATUS_UNAVAILABLE 503
 
 /// One connection to an endpoint. Each address has one response for all paths,
-/// except for crash records at the control address and refused contents at the
-/// admin address.
+/// except for crash records and facts at the control address and for refused
+/// contents at the admin address.
 struct endpoint_conn {
     LIST_ENTRY(endpoint_conn) link;
     struct gateway *gateway;
@@ -124,10 +125,10 @@
     }
 }
 
+/// Responds with a text that is freed then, or 503 for NULL.
 static void
-answer_snapshot(struct endpoint_conn *endpoint)
+write_json(struct endpoint_conn *endpoint, char *text)
 {
-    char *text = Snapshot_Compose(endpoint->gateway);
     write_text(endpoint, text != NULL ? STATUS_OK : STATUS_UNAVAILABLE,
                text != NULL ? text : "nothing is known yet\n");
     free(text);
@@ -140,8 +141,11 @@
     if (strcmp(head->target->str, GOSSIP_PATH) == 0) {
         answer_gossip(endpoint);
     }
+    else if (strcmp(head->target->str, FACTS_PATH) == 0) {
+        write_json(endpoint, Snapshot_ComposeFacts(endpoint->gateway));
+    }
     else {
-        answer_snapshot(endpoint);
+        write_json(endpoint, Snapshot_Compose(endpoint->gateway));
     }
 }
 
@@ -269,6 +273,9 @@
                    "Attempts that followed another one.");
     CmCounters_Add(all, &count->leases, "cm_gateway_leases_total",
                    "Adapters asked for at agents.");
+    CmCounters_Add(all, &count->store_restores,
+                   "cm_gateway_store_restores_total",
+                   "Returns of the store from an older copy.");
     CmCounters_Add(all, &count->target_crashes,
                    "cm_gateway_target_crashes_total",
                    "Targets that crashed and cut off requests.");
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -47,6 +47,7 @@
     struct cm_counter sends;
     struct cm_counter retries;
     struct cm_counter leases;
+    struct cm_counter store_restores;
     struct cm_counter target_crashes;
     struct cm_counter quarantine_refusals;
     struct cm_counter gossip_bytes;
@@ -83,6 +84,8 @@
     struct cm_store_watch catalog_watch;
     struct cm_store_watch target_watch;
     struct cm_store_watch version_watch;
+    struct timespec restored_at; ///< last return of the store from a copy
+    bool listing_targets;        ///< the targets' list is being read
     struct event *removal_timer; ///< delays removal of unlisted targets
 
     struct cm_h1_listener callers_listener;
--- a/programs/coriandermoor/gateway/peer_fetch.c
+++ b/programs/coriandermoor/gateway/peer_fetch.c
@@ -1,5 +1,6 @@
 /// @file peer_fetch.c
-/// Polls the seeds in turn for a snapshot until requests can be placed.
+/// Polls the seeds in turn for a snapshot until requests can be placed, then
+/// once for facts that the store may have lost.
 
 #include "peer_fetch.h"
 
@@ -15,6 +16,8 @@
 #define PEER_TIMEOUT_MS 500
 #define PEER_PAUSE_MS 150
 #define SNAPSHOT_PATH "/snapshot"
+/// Seeds that are asked for facts once the store has answered.
+#define FACTS_TRIES 3
 #define STATUS_OK 200
 
 static void
@@ -46,9 +49,15 @@
     struct gateway *gateway = context;
     struct peer_fetch *fetch = &gateway->peer_fetch;
     set_timer(fetch, PEER_PAUSE_MS);
-    // Data from the store, if there is any by now, is newer.
-    if (end != CM_H1_CALL_COMPLETE || fetch->status != STATUS_OK ||
-        Gateway_CanServe(gateway)) {
+    if (end != CM_H1_CALL_COMPLETE || fetch->status != STATUS_OK) {
+        return;
+    }
+    // The store's targets, if there are any by now, are newer.
+    if (Gateway_CanServe(gateway)) {
+        if (fetch->wants_facts &&
+            Snapshot_ApplyFacts(gateway, fetch->body->str, fetch->body->len)) {
+            fetch->facts_tries = FACTS_TRIES;
+        }
         return;
     }
     if (!Snapshot_Apply(gateway, fetch->body->str, fetch->body->len)) {
@@ -87,7 +96,8 @@
 {
     struct peer_fetch *fetch = &gateway->peer_fetch;
     GString *message = g_string_new(NULL);
-    CmH1Writer_Request(message, "GET", SNAPSHOT_PATH);
+    CmH1Writer_Request(message, "GET",
+                       fetch->wants_facts ? FACTS_PATH : SNAPSHOT_PATH);
     CmH1Writer_Header(message, "Host", seed);
     g_string_append(message, "\r\n");
     struct cm_h1_call_request request = {.address = seed, .message = message};
@@ -102,7 +112,9 @@
 {
     struct gateway *gateway = context;
     CmH1Call_Cancel(&gateway->peer_fetch.call);
-    if (Gateway_CanServe(gateway)) {
+    gateway->peer_fetch.wants_facts = Gateway_CanServe(gateway);
+    if (gateway->peer_fetch.wants_facts &&
+        gateway->peer_fetch.facts_tries++ >= FACTS_TRIES) {
         return;
     }
     const char *seed = next_seed(gateway);
--- a/programs/coriandermoor/gateway/peer_fetch.h
+++ b/programs/coriandermoor/gateway/peer_fetch.h
@@ -7,6 +7,9 @@
 
 #include "gateway.h"
 
+/// Path at the control address of what Snapshot_ComposeFacts() returns.
+#define FACTS_PATH "/facts"
+
 /// Starts to poll the seeds, the peer gateways in the settings. Polling ends
 /// once requests can be placed, be it by a snapshot or because the store has
 /// answered.
--- a/programs/coriandermoor/gateway/peer_fetch_defs.h
+++ b/programs/coriandermoor/gateway/peer_fetch_defs.h
@@ -13,7 +13,9 @@
     struct cm_h1_call call;
     GString *body;
     int status;
-    size_t next; ///< index of the next seed, modulo their number
+    bool wants_facts; ///< the call in progress asks for facts only
+    int facts_tries;  ///< seeds asked for facts
+    size_t next;      ///< index of the next seed, modulo their number
 };
 
 #endif
--- a/programs/coriandermoor/gateway/snapshot.c
+++ b/programs/coriandermoor/gateway/snapshot.c
@@ -61,14 +61,40 @@
     CmList_FOREACH (target, &gateway->targets.list, link) {
         json_array_append_new(targets, compose_target(target));
     }
-    json_t *snapshot = json_pack(
-        "{s:O,s:o,s:o}", "configuration", gateway->config_json, "targets",
-        targets, "versions", compose_versions(&gateway->targets));
+    json_t *snapshot =
+        json_pack("{s:I,s:O,s:o,s:o}", "era", (json_int_t)gateway->store.era,
+                  "configuration", gateway->config_json, "targets", targets,
+                  "versions", compose_versions(&gateway->targets));
     char *text = json_dumps(snapshot, JSON_COMPACT);
     json_decref(snapshot);
     return text;
 }
 
+char *
+Snapshot_ComposeFacts(const struct gateway *gateway)
+{
+    if (!Gateway_CanServe(gateway)) {
+        return NULL;
+    }
+    json_t *draining = json_array();
+    const struct cm_live_target *target;
+    CmList_FOREACH (target, &gateway->targets.list, link) {
+        if (target->draining) {
+            json_array_append_new(draining,
+                                  json_pack("{s:s,s:I}", "id", target->id,
+                                            "started_ms",
+                                            (json_int_t)target->started_ms));
+        }
+    }
+    json_t *facts =
+        json_pack("{s:I,s:O,s:o,s:o}", "era", (json_int_t)gateway->store.era,
+                  "configuration", gateway->config_json, "draining", draining,
+                  "versions", compose_versions(&gateway->targets));
+    char *text = json_dumps(facts, JSON_COMPACT);
+    json_decref(facts);
+    return text;
+}
+
 static void
 apply_target(struct gateway *gateway, const json_t *entry)
 {
@@ -106,6 +132,50 @@
     }
 }
 
+static void
+apply_versions(struct gateway *gateway, json_t *versions)
+{
+    const char *adapter;
+    json_t *version;
+    json_object_foreach(versions, adapter, version)
+    {
+        CmTargets_SetVersion(&gateway->targets, adapter,
+                             json_integer_value(version));
+    }
+}
+
+bool
+Snapshot_ApplyFacts(struct gateway *gateway, const char *text, size_t size)
+{
+    json_t *facts = json_loadb(text, size, 0, NULL);
+    const json_t *configuration = json_object_get(facts, "configuration");
+    const json_t *draining = json_object_get(facts, "draining");
+    json_t *versions = json_object_get(facts, "versions");
+    bool valid = json_is_object(configuration) && json_is_array(draining) &&
+                 json_is_object(versions);
+    if (valid) {
+        StoreWatch_ApplyConfig(gateway, "from a peer gateway", configuration);
+        apply_versions(gateway, versions);
+        size_t i;
+        json_t *entry;
+        json_array_foreach(draining, i, entry)
+        {
+            const char *id = json_string_value(json_object_get(entry, "id"));
+            struct cm_live_target *target =
+                id != NULL ? CmTargets_Find(&gateway->targets, id) : NULL;
+            if (target != NULL &&
+                target->started_ms ==
+                    json_integer_value(json_object_get(entry, "started_ms"))) {
+                target->draining = true;
+            }
+        }
+        CmStore_LearnEra(&gateway->store,
+                         json_integer_value(json_object_get(facts, "era")));
+    }
+    json_decref(facts);
+    return valid;
+}
+
 bool
 Snapshot_Apply(struct gateway *gateway, const char *text, size_t size)
 {
@@ -114,9 +184,12 @@
     const json_t *configuration = json_object_get(snapshot, "configuration");
     const json_t *targets = json_object_get(snapshot, "targets");
     json_t *versions = json_object_get(snapshot, "versions");
+    json_int_t era = json_integer_value(json_object_get(snapshot, "era"));
+    // The targets of an earlier era may have left since.
     bool valid = json_is_object(configuration) && json_is_array(targets) &&
-                 json_is_object(versions);
+                 json_is_object(versions) && era >= gateway->store.era;
     if (valid) {
+        CmStore_LearnEra(&gateway->store, era);
         StoreWatch_ApplyConfig(gateway, "from a peer gateway", configuration);
         size_t i;
         json_t *entry;
@@ -124,13 +197,7 @@
         {
             apply_target(gateway, entry);
         }
-        const char *adapter;
-        json_t *version;
-        json_object_foreach(versions, adapter, version)
-        {
-            CmTargets_SetVersion(&gateway->targets, adapter,
-                                 json_integer_value(version));
-        }
+        apply_versions(gateway, versions);
     }
     json_decref(snapshot);
     return valid;
--- a/programs/coriandermoor/gateway/store_watches.c
+++ b/programs/coriandermoor/gateway/store_watches.c
@@ -30,6 +30,10 @@
 /// again.
 #define REMOVAL_DELAY_MS 2500
 
+/// Time after the store came back from an older copy in which a listed target
+/// may have left already. By then its entry is written again or has expired.
+#define OLD_ENTRIES_MS 15000
+
 /// Puts `catalog` into force if its version is higher than the current one,
 /// otherwise frees it.
 /// @return whether it is now in force.
@@ -104,6 +108,16 @@
                          Gateway_Now(listed->gateway));
 }
 
+/// @return whether an entry of an unknown target may be older than what this
+/// gateway knows: it is listed by a store that has just come back from a copy.
+static bool
+is_old_entry(const struct gateway *gateway)
+{
+    return gateway->listing_targets && gateway->restored_at.tv_sec != 0 &&
+           CmTime_DiffMs(Gateway_Now(gateway), gateway->restored_at) <
+               OLD_ENTRIES_MS;
+}
+
 static void
 on_target(void *context, const char *name, const json_t *spec)
 {
@@ -116,6 +130,13 @@
         return;
     }
     struct cm_live_target *known = CmTargets_Find(&gateway->targets, name);
+    if (known == NULL && is_old_entry(gateway)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
+                    "%s may have left before the store came back: no work "
+                    "until its entry is written again",
+                    name);
+        return;
+    }
     bool was_draining = known != NULL && known->draining;
     struct cm_live_target *target = CmTargets_Update(&gateway->targets, &info);
     if (target == NULL) {
@@ -150,7 +171,9 @@
 static void
 on_targets_begin(void *context)
 {
-    CmTargets_BeginList(&((struct gateway *)context)->targets);
+    struct gateway *gateway = context;
+    gateway->listing_targets = true;
+    CmTargets_BeginList(&gateway->targets);
 }
 
 static void
@@ -172,6 +195,7 @@
 on_targets_listed(void *context)
 {
     struct gateway *gateway = context;
+    gateway->listing_targets = false;
     if (gateway->targets.count == 0) {
         return;
     }
@@ -205,6 +229,30 @@
                 name);
 }
 
+static void
+on_era_changed(void *context, int64_t era)
+{
+    struct gateway *gateway = context;
+    gateway->restored_at = Gateway_Now(gateway);
+    gateway->count.store_restores.value++;
+    CmLog_Event(G_LOG_LEVEL_WARNING, "store", NULL,
+                "the store came back from an older copy, era %" PRId64
+                " begins: listing everything again",
+                era);
+}
+
+static void
+on_era_listed(void *context, const struct cm_store_restoration *changes)
+{
+    CmLog_Event(G_LOG_LEVEL_WARNING, "store", NULL,
+                "era %" PRId64 " (before: %" PRId64 "): %s listed at revision "
+                "%" PRId64 " (before: %" PRId64 "), %zu are gone, %zu new, "
+                "%zu changed",
+                changes->era, changes->previous_era, changes->kind,
+                changes->revision, changes->previous_revision,
+                changes->n_missing, changes->n_new, changes->n_changed);
+}
+
 static struct cm_store_poll_timing
 target_timing(const struct gateway *gateway)
 {
@@ -234,7 +282,10 @@
     struct cm_store_poll_timing target = target_timing(gateway);
     struct cm_store *store = &gateway->store;
     gateway->removal_timer = evtimer_new(gateway->base, on_removal, gateway);
+    static const struct cm_store_era_listener eras = {on_era_changed,
+                                                      on_era_listed};
     CmStore_Init(store, &gateway->pool, gateway->settings.store);
+    CmStore_SetEraListener(store, &eras, gateway);
     CmStoreWatch_Init(&gateway->catalog_watch, store, CM_STORE_CONFIGURATION,
                       slow, &catalogs, gateway);
     CmStoreWatch_Init(&gateway->target_watch, store, CM_STORE_TARGETS, target,
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -5,6 +5,7 @@
 orders to check guarantees independently of the programs under test.
 """
 import asyncio
+import copy
 import json
 import random
 import time
@@ -118,6 +119,7 @@
         self.revision = 1
         self.history = []  # (revision, kind, name, object, deleted)
         self.compacted_revision = 0  # watches from before get status 410
+        self.era = 1  # counts the returns from an older copy; in all answers
         self.error_status = 0  # if not 0, the status of every response
         self.changed = asyncio.Event()
         self.request_count = 0
@@ -146,7 +148,27 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def copy(self):
+        """Returns a copy of the content, to be passed to restore()."""
+        return copy.deepcopy((self.objects_by_kind, self.revision,
+                              self.history))
+
+    def restore(self, saved, cut_watches):
+        """Comes back from a copy: later writes are gone, and revisions after
+        it are given out again."""
+        self.objects_by_kind, self.revision, self.history = copy.deepcopy(
+            saved)
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.era += 1
+        if cut_watches:
+            self.drop_connections()
+
     async def handle(self, method, target, headers, body, writer):
+        response = await self.answer(target)
+        response.headers["Store-Era"] = str(self.era)
+        return response
+
+    async def answer(self, target):
         self.request_count += 1
         if self.error_status:
             return Response(self.error_status)
@@ -165,6 +187,8 @@
 
     async def watch(self, kind, since, wait_s):
         end = time.monotonic() + wait_s
+        if since > self.revision:
+            return Response(410)
         while True:
             if since < self.compacted_revision:
                 return Response(410)
