test(soak): restore the store from older copies, send crashing contents

Cause: the soak's store never went back, and no request ended its target.

Change: the store hangs, comes back from a copy of the last 6 s with watches cut or kept, and configuration, versions and engines' entries are written again in random order, overlapping with the other faults. Four in a hundred requests carry one of three contents that end their target; at most three such sends may come later than 3 s after the third crash at gateways without a fault. Numbers of engines, plain targets and gateways are options.

--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -126,10 +126,11 @@
                 "adapterSlots": self.adapter_slots,
                 "models": [{"name": Engine.MODEL, "adapters": 100}]}},
             {"name": "app", "maxConnections": 100}]
-        self.store.put("config", "main", {
+        self.config = {
             "version": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000,
-                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+        self.store.put("config", "main", self.config)
 
     async def up(self):
         await self.store.open()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -32,6 +32,15 @@
 VERSION_BOUND_S = 5.0
 DRAIN_BOUND_S = 2.0
 RECOVERY_TIMEOUT_S = 15.0
+# A content that has crashed three targets may be sent three times more once
+# this time has passed.
+CONTACT_S = 3.0
+CRASHES = 3
+LATE_SENDS_MAX = 3
+CRASHING_SHARE = 0.04  # of requests
+CRASHING_CONTENTS = 3
+COPY_INTERVAL_S = 1.0  # between copies of the store
+COPIES = 6
 
 
 class Soak:
@@ -40,9 +49,11 @@
         self.seconds = args.seconds
         self.check_time_limits = not args.untimed
         folder = tempfile.mkdtemp(prefix=f"soak-{args.seed}-")
-        self.deployment = Deployment(args.build, folder, engines=4, plains=3,
-                                     gateways=3, adapter_slots=3,
-                                     port=args.port)
+        self.deployment = Deployment(
+            args.build, folder, engines=args.engines, plains=args.plains,
+            gateways=args.gateways, adapter_slots=3, port=args.port)
+        self.store_copies = []  # the last ones, oldest first
+        self.crash_numbers = {}  # request id to the number of its content
         self.insert_proxies()
         self.sent = {}        # id to (route, adapter, gateway, time)
         self.answers = {}     # id to (status, body, complete)
@@ -52,6 +63,7 @@
         self.last_fault = {}  # process name, host, "store" or "links" to time
         self.served_routes = [set() for _ in self.deployment.gateways]
         self.violations = []
+        self.crashes = 0
         self.faults = 0
         self.disrupted_processes = set()  # names; being stopped or paused
         self.stopping = False
@@ -102,7 +114,8 @@
 
     async def send_random_request(self):
         self.number += 1
-        number, gateway = self.number, self.random.randrange(3)
+        number = self.number
+        gateway = self.random.randrange(len(self.deployment.gateways))
         route = self.random.choice(["resumed", "resumed", "once-stream",
                                     "once", "again"])
         adapter, events = None, 0
@@ -111,13 +124,18 @@
             events = self.random.randint(3, 60)
         request = f"{number:016x}"
         self.sent[request] = (route, adapter, gateway, time.monotonic())
+        body = b"x"
+        if self.random.random() < CRASHING_SHARE and route != "again":
+            content = self.random.randrange(CRASHING_CONTENTS)
+            body = b"crash %d" % content
+            self.crash_numbers[request] = content
         headers = request_headers(number, adapter, events=events,
                                   deadline_ms=4000 if adapter else 1500)
         try:
             status, _, body, complete = await call(
                 f"127.0.3.{gateway + 1}", self.deployment.port,
                 "GET" if route == "again" else "POST", f"/{route}/1", headers,
-                b"" if route == "again" else b"x", timeout_s=8)
+                b"" if route == "again" else body, timeout_s=8)
         except (OSError, asyncio.TimeoutError):
             return
         self.answers[request] = (status, body, complete)
@@ -275,7 +293,8 @@
             if self.random.random() < 0.7:
                 engine.deregister()
             await asyncio.sleep(self.random.uniform(0.2, 2))
-            await engine.start(model=False)
+            if not engine.up:
+                await engine.start(model=False)
 
     async def disrupt_plain_target(self):
         target = self.random.choice(self.deployment.plains)
@@ -286,16 +305,54 @@
     async def disrupt_store(self):
         store = self.deployment.store
         self.record_fault("store")
-        kind = self.random.choice(["hang", "error", "compact"])
+        kind = self.random.choice(["hang", "error", "compact", "restore"])
         if kind == "compact":
             store.compact_history()
             return
+        if kind == "restore":
+            await self.restore_store()
+            return
         store.unresponsive, store.error_status = (
             kind == "hang", 503 * (kind == "error"))
         await asyncio.sleep(self.random.uniform(0.5, 4))
         store.unresponsive, store.error_status = False, 0
         self.record_fault("store")
 
+    async def restore_store(self):
+        """The store is away, comes back from an older copy, and what the
+        operator and the engines wrote is written again, in any order."""
+        d = self.deployment
+        store = d.store
+        store.unresponsive = True
+        await asyncio.sleep(self.random.uniform(0.1, 1))
+        store.restore(self.random.choice(self.store_copies),
+                      cut_watches=self.random.random() < 0.5)
+        store.unresponsive = False
+        writes = [("config", "main", d.config)]
+        for adapter, versions in self.announced_versions.items():
+            writes.append(("versions", f"m.{adapter}", {
+                "model": "m", "adapter": adapter,
+                "version": versions[-1][1]}))
+        self.random.shuffle(writes)
+        for kind, name, spec in writes:
+            await asyncio.sleep(self.random.uniform(0, 0.05))
+            # A newer one may have been written meanwhile.
+            now = store.objects_by_kind.get(kind, {}).get(name)
+            if now is None or now["spec"]["version"] < spec["version"]:
+                store.put(kind, name, spec)
+        # Entries of incarnations that have ended get no heartbeat.
+        await asyncio.sleep(0.7)
+        live = {t.id for t in d.engines + d.plains if t.up}
+        for name in set(store.objects_by_kind.get("servers", {})) - live:
+            store.delete("servers", name)
+        self.record_fault("store")
+
+    async def copy_store(self):
+        while not self.stopping:
+            self.store_copies.append(self.deployment.store.copy())
+            del self.store_copies[:-COPIES]
+            await asyncio.sleep(COPY_INTERVAL_S)
+
     async def change_configuration(self):
         if self.random.random() < 0.5:
             self.deployment.extra_routes.append(
@@ -341,9 +398,27 @@
                 if self.sent[request][0] in ("once", "once-stream"):
                     self.report_violation(
                         f"{request}: answered {answer[0]}, but it ran")
+        for content in range(CRASHING_CONTENTS):
+            self.check_crashes(b"crash %d" % content)
         if any(e.slots_exceeded for e in self.deployment.engines):
             self.report_violation("an engine got more loads than it has slots")
 
+    def check_crashes(self, body):
+        """Checks that a crashing content is not sent on after its third crash
+        by gateways without a fault."""
+        d = self.deployment
+        crashes = sorted((when, request) for t in d.engines + d.plains
+                         for request, crashed, when in t.crashes
+                         if crashed == body)
+        late = [request for when, request in crashes[CRASHES:]
+                if when > crashes[CRASHES - 1][0] + CONTACT_S
+                and self.undisturbed(f"gateway{self.sent[request][2]}",
+                                     "store", since=when)]
+        self.crashes += len(crashes)
+        if len(late) > LATE_SENDS_MAX:
+            self.report_violation(
+                f"{body.decode()}: {len(crashes)} crashes, sent late: {late}")
+
     def check_request(self, request, request_runs):
         route, adapter, gateway, _ = self.sent[request]
         if route in ("once", "once-stream") and len(request_runs) > 1:
@@ -400,7 +475,11 @@
             await proxy.open()
         await d.up()
         try:
-            jobs = [asyncio.ensure_future(self.run_callers()),
+            for target in d.engines + d.plains:
+                target.crashing_bodies |= {
+                    b"crash %d" % i for i in range(CRASHING_CONTENTS)}
+            jobs = [asyncio.ensure_future(self.copy_store()),
+                    asyncio.ensure_future(self.run_callers()),
                     asyncio.ensure_future(self.monitor_routes())]
             await self.inject_faults()
             self.stopping = True
@@ -421,6 +500,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--port", type=int, default=25000)
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--plains", type=int, default=3)
+    parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--untimed", action="store_true",
                         help="skip the time limits, for a busy machine")
     args = parser.parse_args()
@@ -429,7 +511,8 @@
     succeeded = sum(a[0] == 200 for a in soak.answers.values())
     print(f"seed {args.seed}: {soak.faults} faults, {len(soak.sent)} requests,"
           f" {len(soak.answers)} answered, {succeeded} with status "
-          f"200, {len(soak.violations)} violations; logs in "
+          f"200, {soak.crashes} crashes by contents, "
+          f"{len(soak.violations)} violations; logs in "
           f"{soak.deployment.folder}")
     print(f"{0 if soak.violations else 1} passed, "
           f"{1 if soak.violations else 0} failed")
