perf(quarantine): bound pushes by their size

Cause: 24 records a second of 20 runs each would have been 52 kB/s to three peers, more than a node's 29 kB/s.

Change: four runs of a record count as one more record, so that pushes stay under 24 x 190 x 3 bytes, some 14 kB/s, after a burst of 27 kB.

--- a/packages/quarantine/include/quarantine/gossip.h
+++ b/packages/quarantine/include/quarantine/gossip.h
@@ -16,9 +16,12 @@
 
 /// Peers to which a new record is pushed.
 #define CM_GOSSIP_FANOUT 3
-/// Pushed records in a second, on average. Bounds the traffic while many
-/// targets crash at once; what is repeated in several crashes goes first.
+/// Pushed records in a second, on average; one with many runs counts as
+/// several. Bounds the traffic while many targets crash at once; what is
+/// repeated in several crashes goes first.
 #define CM_GOSSIP_RECORDS_PER_S 24
+/// Runs of a record that count as one more record.
+#define CM_GOSSIP_RUNS_PER_RECORD 4
 /// Most peers that a gateway knows.
 #define CM_GOSSIP_PEERS_MAX 512
 
--- a/packages/quarantine/src/gossip.c
+++ b/packages/quarantine/src/gossip.c
@@ -215,7 +215,8 @@
             g_hash_table_lookup(gossip->quarantine->by_id, &id);
         if (record != NULL) {
             append_copy(push, record);
-            gossip->credit -= 1;
+            gossip->credit -=
+                1 + (double)record->n_runs / CM_GOSSIP_RUNS_PER_RECORD;
             any = true;
         }
     }
