feat(explain,fuzz): name crashes and restored stores; fuzz crash records

Cause: the summary of explain lists causes of single requests; an operator should see at once that a content is refused, that targets crash or that the store came back from an older copy. Crash records are input from the network.

Change: three lines with counts below the causes; the fuzz target of the platform decodes crash records.

--- a/packages/explain/include/explain/timeline.h
+++ b/packages/explain/include/explain/timeline.h
@@ -49,7 +49,7 @@
 
 /// Appends the number of requests, of successful ones (status 2xx) and of
 /// skipped lines, then the causes of failures with counts, most frequent
-/// first.
+/// first, then crashes of targets and returns of the store from an older copy.
 void
 CmTimeline_AppendSummary(const struct cm_timeline *timeline, GString *out);
 
--- a/packages/explain/src/timeline.c
+++ b/packages/explain/src/timeline.c
@@ -280,6 +280,39 @@
     cause->count++;
 }
 
+/// Log lines that explain failures of many requests at once.
+static const struct {
+    const char *component;
+    const char *part; ///< of the message
+    const char *text; ///< printed with the number of such lines
+} incidents[] = {
+    {"store", "came back from an older copy",
+     "the store came back from an older copy (lines, one per gateway)"},
+    {"quarantine", "is refused from now on",
+     "a content is refused, as it crashes targets (lines, one per gateway)"},
+    {"quarantine", "crashed and cut off",
+     "a target crashed (lines, one per gateway that lost requests)"},
+};
+
+/// Appends which incidents the logs tell of.
+static void
+append_incidents(const struct cm_timeline *timeline, GString *out)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(incidents); i++) {
+        size_t count = 0;
+        for (guint j = 0; j < timeline->records->len; j++) {
+            const struct cm_timeline_record *record = &g_array_index(
+                timeline->records, struct cm_timeline_record, j);
+            count += strcmp(record->component, incidents[i].component) == 0 &&
+                     strstr(record->message, incidents[i].part) != NULL;
+        }
+        if (count > 0) {
+            g_string_append_printf(out, "%7zu  %s\n", count,
+                                   incidents[i].text);
+        }
+    }
+}
+
 void
 CmTimeline_AppendSummary(const struct cm_timeline *timeline, GString *out)
 {
@@ -319,4 +352,5 @@
     }
     g_ptr_array_free(ranked, TRUE);
     g_hash_table_destroy(causes);
+    append_incidents(timeline, out);
 }
--- a/packages/explain/tests/timeline_test.c
+++ b/packages/explain/tests/timeline_test.c
@@ -80,7 +80,16 @@
             LINE(3, "g", "answer", "c", "refused 503 after 9 ms: no room")
                 LINE(4, "h", "answer", "d", "answered 500 after 5 ms, route x")
                     LINE(5, "h", "lease", "e", "no slot")
-                        LINE(6, "h", "answer", "f", "refused") "torn";
+                        LINE(6, "h", "answer", "f", "refused")
+                            LINE(7, "g", "store", "",
+                                 "the store came back from an older copy, "
+                                 "era 2 begins")
+                                LINE(8, "h", "store", "",
+                                     "the store came back from an older copy, "
+                                     "era 2 begins")
+                                    LINE(9, "g", "quarantine", "",
+                                         "content 1.2 is refused from now on: "
+                                         "3 crashes") "torn";
     struct cm_timeline timeline;
     CmTimeline_Init(&timeline);
     CmTimeline_AddLog(&timeline, log, strlen(log));
@@ -91,6 +100,10 @@
     CU_ASSERT(position(out->str, "2  refused: no room  (for example b)") > 0);
     CU_ASSERT(position(out->str, "1  answered 500  (for example d)") >
               position(out->str, "refused: no room"));
+    CU_ASSERT(position(out->str, "2  the store came back from an older copy") >
+              position(out->str, "answered 500"));
+    CU_ASSERT(position(out->str, "1  a content is refused") > 0);
+    CU_ASSERT(position(out->str, "a target crashed") < 0);
     g_string_free(out, TRUE);
     CmTimeline_Finish(&timeline);
 }
--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -1,15 +1,18 @@
 /// @file wire_fuzz.c
 /// Fuzz target: inputs of the platform deployment. Covers objects of the
-/// store, engine reports, lease messages, event streams and log lines.
+/// store, engine reports, lease messages, crash records, event streams and log
+/// lines.
 
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "catalog_codec.h"
 #include "dispatch/event_stream.h"
 #include "engine_codec.h"
 #include "explain/timeline.h"
+#include "quarantine/exchange.h"
 #include "residency/lease_message.h"
 #include "target_codec.h"
 
@@ -32,6 +35,18 @@
 {
 }
 
+static void
+decode_exchange(const uint8_t *data, size_t size)
+{
+    struct timespec now = {.tv_sec = 10000};
+    struct cm_exchange exchange;
+    CmExchange_Init(&exchange, "", 0);
+    if (CmExchange_Decode(&exchange, (const char *)data, size, now)) {
+        free(CmExchange_Encode(&exchange, now));
+    }
+    CmExchange_Finish(&exchange);
+}
+
 static void
 decode_json(const json_t *json)
 {
@@ -102,6 +117,7 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
+    decode_exchange(data, size);
     const char *text = (const char *)data;
     json_t *json = json_loadb(text, size, JSON_DECODE_ANY, NULL);
     if (json != NULL) {
