fix(gateway): hash only requests as long as a suspect, spare planned restarts

Cause: found in reading: with a verdict in force CrashWatch_Refuses() named the content of every request, although the size rules almost all of them out; and the start of the next incarnation confirmed a crash also of a target that had announced its leaving.

Change: the refusal looks at the size first, as the completion does; a draining target's successor shows no crash.

--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -30,7 +30,6 @@
 /// Time after which a run that streams events has evidently not crashed its
 /// target: a content does so when it starts to run.
 #define STREAMING_SAFE_MS 1000
-
 /// A crash is late in a run after this part of the route's target latency,
 /// within which even a queued run has started.
 #define LATE_DIVISOR 2
@@ -362,6 +361,7 @@
     struct crash_suspicion *suspicion;
     CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
         if (suspicion->state != SUSPICION_CONFIRMED &&
+            !suspicion->target->draining &&
             suspicion->target->started_ms < target->started_ms &&
             strcmp(suspicion->target->address, target->address) == 0) {
             close_probe(suspicion);
@@ -377,8 +377,7 @@
     if (gateway->quarantine.n_refused == 0) {
         return false;
     }
-    const struct cm_suspect *suspect =
-        CmQuarantine_Find(&gateway->quarantine, Request_Content(request));
+    const struct cm_suspect *suspect = find_suspect(request);
     if (suspect == NULL || !suspect->refused) {
         return false;
     }
