test(soak): a crashing content is a path and a body

The check counted by body; the trace shows three contents (ids 181 to 272: routes resumed, once and once-stream with the same body), each refused after 3 to 6 crashes. The platform's promise is for the same path and body.

Change: each route has crashing bodies of its own, and the check counts each of them. The bound stays: at most three late sends of one content.

--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -38,11 +38,21 @@
 CRASHES = 3
 LATE_SENDS_MAX = 3
 CRASHING_SHARE = 0.04  # of requests
-CRASHING_CONTENTS = 3
+CRASHING_CONTENTS = 1  # for each route
 COPY_INTERVAL_S = 1.0  # between copies of the store
 COPIES = 6
 
 
+def crashing_body(route, number):
+    """A content is a path and a body, so each route has its own bodies."""
+    return b"crash %s %d" % (route.encode(), number)
+
+
+CRASHING_BODIES = [crashing_body(route, number)
+                   for route in ("resumed", "once-stream", "once")
+                   for number in range(CRASHING_CONTENTS)]
+
+
 class Soak:
     def __init__(self, args):
         self.random = random.Random(args.seed)
@@ -53,7 +63,6 @@
             args.build, folder, engines=args.engines, plains=args.plains,
             gateways=args.gateways, adapter_slots=3, port=args.port)
         self.store_copies = []  # the last ones, oldest first
-        self.crash_numbers = {}  # request id to the number of its content
         self.insert_proxies()
         self.sent = {}        # id to (route, adapter, gateway, time)
         self.answers = {}     # id to (status, body, complete)
@@ -126,9 +135,8 @@
         self.sent[request] = (route, adapter, gateway, time.monotonic())
         body = b"x"
         if self.random.random() < CRASHING_SHARE and route != "again":
-            content = self.random.randrange(CRASHING_CONTENTS)
-            body = b"crash %d" % content
-            self.crash_numbers[request] = content
+            body = crashing_body(route,
+                                 self.random.randrange(CRASHING_CONTENTS))
         headers = request_headers(number, adapter, events=events,
                                   deadline_ms=4000 if adapter else 1500)
         try:
@@ -398,8 +406,8 @@
                 if self.sent[request][0] in ("once", "once-stream"):
                     self.report_violation(
                         f"{request}: answered {answer[0]}, but it ran")
-        for content in range(CRASHING_CONTENTS):
-            self.check_crashes(b"crash %d" % content)
+        for body in CRASHING_BODIES:
+            self.check_crashes(body)
         if any(e.slots_exceeded for e in self.deployment.engines):
             self.report_violation("an engine got more loads than it has slots")
 
@@ -476,8 +484,7 @@
         await d.up()
         try:
             for target in d.engines + d.plains:
-                target.crashing_bodies |= {
-                    b"crash %d" % i for i in range(CRASHING_CONTENTS)}
+                target.crashing_bodies |= set(CRASHING_BODIES)
             jobs = [asyncio.ensure_future(self.copy_store()),
                     asyncio.ensure_future(self.run_callers()),
                     asyncio.ensure_future(self.monitor_routes())]
