--- a/packages/quarantine/include/quarantine/verdict.h
+++ b/packages/quarantine/include/quarantine/verdict.h
@@ -2,7 +2,7 @@
 /// Derives from a set of crash records which contents crash their targets. A
 /// pure function: the order of the records doesn't matter.
 ///
-/// Every run that a crash cut off is a suspect. A suspect is convicted once it
+/// Every run that a crash cut off is a suspect. A suspect is refused once it
 /// was in enough crashes that nothing else explains:
 ///
 /// - Runs that end before the content's last completed run don't count.
@@ -11,7 +11,7 @@
 ///   comes again afterwards.
 /// - A crash late in a run counts half, since a content crashes a target when
 ///   it starts to run.
-/// - Crashes in which a convicted content ran don't count for others.
+/// - Crashes in which a refused content ran don't count for others.
 /// - A crash doesn't count while another content that was in as many crashes
 ///   ran in it, too: the next crash of either tells them apart.
 
@@ -33,7 +33,7 @@
 
 /// @param crashes after which a content is refused, twice as many late ones.
 /// @param counts  content to the number of its crash records. Contents with
-///                fewer than `crashes - 1` can't be convicted soon and are
+///                fewer than `crashes - 1` can't be refused soon and are
 ///                left out.
 /// @return content to struct cm_suspect, which the table owns.
 GHashTable *
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -14,7 +14,7 @@
 /// The end of one target, from the records of all that observed it.
 struct crash {
     const char *target;
-    bool explained; ///< a convicted content ran in it
+    bool explained; ///< a refused content ran in it
 };
 
 /// What a crash counts against a content, twice as much if the run had just
@@ -46,8 +46,8 @@
 }
 
 /// Working state of one computation.
-struct inquiry {
-    int threshold;          ///< weight that convicts
+struct evaluation {
+    int threshold;          ///< weight from which on a content is refused
     int min_records;        ///< of a content to be a suspect
     GHashTable *counts;     ///< content to the number of its crash records
     GHashTable *alive;      ///< target to the time of its last response
@@ -75,17 +75,17 @@
 }
 
 static void
-collect_acquittals(struct inquiry *inquiry,
+collect_clearances(struct evaluation *evaluation,
                    const struct cm_crash_records *records)
 {
     const struct cm_crash_record *record;
     CmTailq_FOREACH (record, records, link) {
         if (record->kind == CM_CRASH_RECORD_ALIVE) {
-            keep_latest(inquiry->alive, record->target, &record->at);
+            keep_latest(evaluation->alive, record->target, &record->at);
         }
         else if (record->kind != CM_CRASH_RECORD_CRASH) {
             for (size_t i = 0; i < record->n_runs; i++) {
-                keep_latest(inquiry->cleared, record->runs[i].content,
+                keep_latest(evaluation->cleared, record->runs[i].content,
                             &record->at);
             }
         }
@@ -93,30 +93,31 @@
 }
 
 static struct crash *
-find_or_add_crash(struct inquiry *inquiry, const char *target)
+find_or_add_crash(struct evaluation *evaluation, const char *target)
 {
-    struct crash *crash = g_hash_table_lookup(inquiry->crashes, target);
+    struct crash *crash = g_hash_table_lookup(evaluation->crashes, target);
     if (crash == NULL) {
         crash = g_new0(struct crash, 1);
         crash->target = target;
-        g_hash_table_insert(inquiry->crashes, (void *)target, crash);
+        g_hash_table_insert(evaluation->crashes, (void *)target, crash);
     }
     return crash;
 }
 
 static struct candidate *
-find_or_add_candidate(struct inquiry *inquiry, const char *content)
+find_or_add_candidate(struct evaluation *evaluation, const char *content)
 {
     struct candidate *candidate =
-        g_hash_table_lookup(inquiry->candidates, content);
+        g_hash_table_lookup(evaluation->candidates, content);
     if (candidate == NULL) {
         candidate = g_new0(struct candidate, 1);
         candidate->suspect = g_new0(struct cm_suspect, 1);
         candidate->involvements =
             g_array_new(FALSE, FALSE, sizeof(struct involvement));
         g_strlcpy(candidate->suspect->content, content, CM_CONTENT_SIZE);
-        g_hash_table_insert(inquiry->candidates, (void *)content, candidate);
-        g_hash_table_insert(inquiry->suspects, candidate->suspect->content,
+        g_hash_table_insert(evaluation->candidates, (void *)content,
+                            candidate);
+        g_hash_table_insert(evaluation->suspects, candidate->suspect->content,
                             candidate->suspect);
     }
     return candidate;
@@ -136,16 +137,17 @@
 }
 
 static void
-add_run(struct inquiry *inquiry, const struct cm_crash_record *record,
+add_run(struct evaluation *evaluation, const struct cm_crash_record *record,
         const struct cm_crash_run *run)
 {
-    if (GPOINTER_TO_INT(g_hash_table_lookup(inquiry->counts, run->content)) <
-            inquiry->min_records ||
-        is_superseded(inquiry->cleared, run->content, record->at)) {
+    if (GPOINTER_TO_INT(g_hash_table_lookup(
+            evaluation->counts, run->content)) < evaluation->min_records ||
+        is_superseded(evaluation->cleared, run->content, record->at)) {
         return;
     }
-    struct crash *crash = find_or_add_crash(inquiry, record->target);
-    struct candidate *candidate = find_or_add_candidate(inquiry, run->content);
+    struct crash *crash = find_or_add_crash(evaluation, record->target);
+    struct candidate *candidate =
+        find_or_add_candidate(evaluation, run->content);
     struct cm_suspect *suspect = candidate->suspect;
     struct involvement involvement = {
         crash, run->late ? LATE_WEIGHT : EARLY_WEIGHT,
@@ -165,17 +167,17 @@
 }
 
 static void
-collect_crashes(struct inquiry *inquiry,
+collect_crashes(struct evaluation *evaluation,
                 const struct cm_crash_records *records)
 {
     const struct cm_crash_record *record;
     CmTailq_FOREACH (record, records, link) {
         if (record->kind != CM_CRASH_RECORD_CRASH ||
-            is_superseded(inquiry->alive, record->target, record->at)) {
+            is_superseded(evaluation->alive, record->target, record->at)) {
             continue;
         }
         for (size_t i = 0; i < record->n_runs; i++) {
-            add_run(inquiry, record, &record->runs[i]);
+            add_run(evaluation, record, &record->runs[i]);
         }
     }
 }
@@ -207,12 +209,12 @@
 /// caused the crash.
 static bool
 is_ambiguous(const struct candidate *candidate, const struct crash *crash,
-             const GPtrArray *rivals)
+             const GPtrArray *others)
 {
-    for (guint i = 0; rivals != NULL && i < rivals->len; i++) {
-        const struct candidate *rival = g_ptr_array_index(rivals, i);
-        if (rival != candidate && !rival->suspect->refused &&
-            rival->weight >= candidate->weight && was_in(rival, crash)) {
+    for (guint i = 0; others != NULL && i < others->len; i++) {
+        const struct candidate *other = g_ptr_array_index(others, i);
+        if (other != candidate && !other->suspect->refused &&
+            other->weight >= candidate->weight && was_in(other, crash)) {
             return true;
         }
     }
@@ -220,10 +222,10 @@
 }
 
 /// @return the weight of a candidate's unexplained crashes. Those with
-/// overlapping runs count once, those that one of `rivals` may have caused not
+/// overlapping runs count once, those that one of `others` may have caused not
 /// at all.
 static int
-weigh_crashes(const struct candidate *candidate, const GPtrArray *rivals)
+weigh_crashes(const struct candidate *candidate, const GPtrArray *others)
 {
     int weight = 0;
     struct timespec last_end = {0};
@@ -231,7 +233,7 @@
         const struct involvement *involvement =
             &g_array_index(candidate->involvements, struct involvement, i);
         if (involvement->crash->explained ||
-            is_ambiguous(candidate, involvement->crash, rivals)) {
+            is_ambiguous(candidate, involvement->crash, others)) {
             continue;
         }
         if (weight == 0 || CmTime_DiffMs(last_end, involvement->from) <=
@@ -244,7 +246,7 @@
 }
 
 static void
-convict(struct candidate *candidate)
+refuse(struct candidate *candidate)
 {
     candidate->suspect->refused = true;
     for (guint i = 0; i < candidate->involvements->len; i++) {
@@ -253,10 +255,10 @@
     }
 }
 
-/// Convicts one candidate if any can be.
-/// @param repeated the candidates with enough crashes to be convicted.
+/// Refuses one more content, if any is due.
+/// @param repeated the candidates with enough crashes to be refused.
 static bool
-convict_next(const struct inquiry *inquiry, const GPtrArray *repeated)
+refuse_next(const struct evaluation *evaluation, const GPtrArray *repeated)
 {
     for (guint i = 0; i < repeated->len; i++) {
         struct candidate *candidate = g_ptr_array_index(repeated, i);
@@ -267,8 +269,8 @@
     for (guint i = 0; i < repeated->len; i++) {
         struct candidate *candidate = g_ptr_array_index(repeated, i);
         if (!candidate->suspect->refused &&
-            weigh_crashes(candidate, repeated) >= inquiry->threshold) {
-            convict(candidate);
+            weigh_crashes(candidate, repeated) >= evaluation->threshold) {
+            refuse(candidate);
             return true;
         }
     }
@@ -276,21 +278,21 @@
 }
 
 static void
-convict_all(const struct inquiry *inquiry)
+refuse_all(const struct evaluation *evaluation)
 {
     GPtrArray *repeated = g_ptr_array_new();
     GHashTableIter iter;
     void *value;
-    g_hash_table_iter_init(&iter, inquiry->candidates);
+    g_hash_table_iter_init(&iter, evaluation->candidates);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct candidate *candidate = value;
         g_array_sort(candidate->involvements, compare_ends);
         candidate->weight = weigh_crashes(candidate, NULL);
-        if (candidate->weight >= inquiry->threshold) {
+        if (candidate->weight >= evaluation->threshold) {
             g_ptr_array_add(repeated, candidate);
         }
     }
-    while (convict_next(inquiry, repeated)) {
+    while (refuse_next(evaluation, repeated)) {
     }
     g_ptr_array_free(repeated, TRUE);
 }
@@ -299,7 +301,7 @@
 CmVerdict_Compute(const struct cm_crash_records *records, int crashes,
                   GHashTable *counts)
 {
-    struct inquiry inquiry = {
+    struct evaluation evaluation = {
         .threshold = crashes * EARLY_WEIGHT,
         .min_records = crashes - 1,
         .counts = counts,
@@ -312,12 +314,12 @@
         .suspects =
             g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free),
     };
-    collect_acquittals(&inquiry, records);
-    collect_crashes(&inquiry, records);
-    convict_all(&inquiry);
-    g_hash_table_destroy(inquiry.candidates);
-    g_hash_table_destroy(inquiry.crashes);
-    g_hash_table_destroy(inquiry.cleared);
-    g_hash_table_destroy(inquiry.alive);
-    return inquiry.suspects;
+    collect_clearances(&evaluation, records);
+    collect_crashes(&evaluation, records);
+    refuse_all(&evaluation);
+    g_hash_table_destroy(evaluation.candidates);
+    g_hash_table_destroy(evaluation.crashes);
+    g_hash_table_destroy(evaluation.cleared);
+    g_hash_table_destroy(evaluation.alive);
+    return evaluation.suspects;
 }
