fix(gateway): count targets that fall silent and start again as crashed

Seen: a content that makes its target fall silent instead of closing its connections was sent on without limit, as silence alone is no evidence.

Cause: only attempts that a target cut off made it a suspect.

Change: attempts that the gateway gives up on, at the stall timeout or the deadline, are kept with their target for 15 s. If another incarnation starts at its address, it has crashed, and they count; a response to a later request clears them. Such targets are not probed, as most of them are slow.

--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -3,9 +3,10 @@
 ///
 /// A target that cuts off a request is asked for a new connection. It has
 /// crashed if nobody listens at its address any more, or if another
-/// incarnation starts there. A response to a later request shows that it
-/// lives. Everything else (silence, a link that is cut, a frozen machine)
-/// decides nothing, and the suspicion ends after a while.
+/// incarnation starts there. The latter is also what tells a silent target
+/// that has crashed from one that is slow, frozen or cut off. A response to a
+/// later request shows that it lives. Otherwise the suspicion ends after a
+/// while.
 
 #include "crash_watch.h"
 
@@ -22,6 +23,8 @@
 #define COLLECT_MS 10
 /// Least time between two probes of a target, as it may reset many requests.
 #define PROBE_INTERVAL_MS 200
+/// Most runs of a target that are kept until it is known whether it crashed.
+#define RUNS_MAX CM_CRASH_RUNS_MAX
 /// Connect timeout of a probe.
 #define PROBE_TIMEOUT_MS 500
 /// Time after the last attempt that a target cut off, within which it may
@@ -238,39 +241,59 @@
     return NULL;
 }
 
+/// @return the suspicion of a target, which is added if there is none.
 static struct crash_suspicion *
-add_suspicion(struct gateway *gateway, struct cm_live_target *target)
+find_or_add_suspicion(struct gateway *gateway, struct cm_live_target *target)
 {
-    struct crash_suspicion *suspicion = g_new0(struct crash_suspicion, 1);
+    struct crash_suspicion *suspicion = find_suspicion(gateway, target);
+    if (suspicion != NULL) {
+        return suspicion;
+    }
+    suspicion = g_new0(struct crash_suspicion, 1);
     suspicion->gateway = gateway;
     suspicion->target = CmTarget_Ref(target);
     suspicion->runs = g_array_new(FALSE, FALSE, sizeof(struct cut_off));
     suspicion->probe = -1;
     suspicion->timer = evtimer_new(gateway->base, on_timer, suspicion);
-    suspicion->state = SUSPICION_COLLECTING;
-    set_timer(suspicion, COLLECT_MS);
+    leave_open(suspicion);
     LIST_INSERT_HEAD(&gateway->crash_suspicions, suspicion, link);
     return suspicion;
 }
 
+/// @return whether the end of the attempt may show that its content crashes
+/// targets. A target that leaves cuts off what it doesn't finish in time.
+static bool
+is_suspect(const struct attempt *attempt, struct timespec now)
+{
+    return !attempt->target->draining && !attempt->target->removed &&
+           (attempt->first_event_at.tv_sec == 0 ||
+            CmTime_DiffMs(now, attempt->first_event_at) <= STREAMING_SAFE_MS);
+}
+
+static void
+add_run(struct crash_suspicion *suspicion, struct request *request,
+        int64_t late_ms)
+{
+    struct cut_off run = {.sent_at = request->attempt.sent_at,
+                          .late_ms = late_ms};
+    g_strlcpy(run.content, Request_Content(request), sizeof(run.content));
+    if (suspicion->runs->len < RUNS_MAX) {
+        g_array_append_val(suspicion->runs, run);
+    }
+    suspicion->last_cut_off = Gateway_Now(suspicion->gateway);
+}
+
 void
 CrashWatch_CountCutOff(struct request *request)
 {
     struct gateway *gateway = request->gateway;
-    const struct attempt *attempt = &request->attempt;
-    struct cm_live_target *target = attempt->target;
     struct timespec now = Gateway_Now(gateway);
-    // A target that leaves cuts off what it doesn't finish in time.
-    if (target->draining || target->removed ||
-        (attempt->first_event_at.tv_sec != 0 &&
-         CmTime_DiffMs(now, attempt->first_event_at) > STREAMING_SAFE_MS)) {
+    if (!is_suspect(&request->attempt, now)) {
         return;
     }
-    struct crash_suspicion *suspicion = find_suspicion(gateway, target);
-    if (suspicion == NULL) {
-        suspicion = add_suspicion(gateway, target);
-    }
-    else if (suspicion->state == SUSPICION_OPEN) {
+    struct crash_suspicion *suspicion =
+        find_or_add_suspicion(gateway, request->attempt.target);
+    if (suspicion->state == SUSPICION_OPEN) {
         suspicion->state = SUSPICION_COLLECTING;
         set_timer(suspicion, MAX(PROBE_INTERVAL_MS -
                                      CmTime_DiffMs(now, suspicion->probed_at),
@@ -279,12 +302,25 @@
     else if (suspicion->state == SUSPICION_CONFIRMED) {
         set_timer(suspicion, COLLECT_MS);
     }
-    struct cut_off run = {.sent_at = attempt->sent_at,
-                          .late_ms = request->route->target_latency_ms /
-                                     LATE_DIVISOR};
-    g_strlcpy(run.content, Request_Content(request), sizeof(run.content));
-    g_array_append_val(suspicion->runs, run);
-    suspicion->last_cut_off = now;
+    add_run(suspicion, request,
+            request->route->target_latency_ms / LATE_DIVISOR);
+}
+
+void
+CrashWatch_CountSilent(struct request *request)
+{
+    if (request->attempt.target == NULL ||
+        !is_suspect(&request->attempt, Gateway_Now(request->gateway))) {
+        return;
+    }
+    struct crash_suspicion *suspicion =
+        find_or_add_suspicion(request->gateway, request->attempt.target);
+    if (suspicion->state == SUSPICION_OPEN) {
+        // No probe: most silent targets are slow, and it would add load.
+        leave_open(suspicion);
+    }
+    // When the target fell silent is unknown.
+    add_run(suspicion, request, INT64_MAX);
 }
 
 /// Drops the request's content from the runs that are not recorded yet.
--- a/programs/coriandermoor/gateway/crash_watch.h
+++ b/programs/coriandermoor/gateway/crash_watch.h
@@ -17,6 +17,10 @@
 void
 CrashWatch_CountCutOff(struct request *request);
 
+/// Counts an attempt that this gateway gave up on, as its target was silent.
+void
+CrashWatch_CountSilent(struct request *request);
+
 /// Counts an attempt that its target ran to the end, which shows that its
 /// content crashes no targets.
 void
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -364,6 +364,10 @@
 static void
 end_at_deadline(struct request *request)
 {
+    if (request->phase == REQUEST_SENT ||
+        request->phase == REQUEST_STREAMING) {
+        CrashWatch_CountSilent(request);
+    }
     if (request->retry.answer_started) {
         Response_Abort(request, "the deadline has passed");
         return;
@@ -419,6 +423,7 @@
     }
     // Closing the connection makes the target cancel the request.
     CmH1Call_Cancel(&request->attempt.call);
+    CrashWatch_CountSilent(request);
     retry_or_fail(request, CM_ATTEMPT_LOST);
 }
 
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -232,6 +232,7 @@
         self.crashing_bodies = set()  # end the target that runs one of them
         self.crashes = []  # [id, body, time] of runs that ended the target
         self.restart_delay_s = 1.0  # after such a crash
+        self.dark_crashes = False  # silent until the restart, not closed
         self.active_runs = 0
         self.lost_response_rate = 0.0  # share of runs without a response
         self.lost_responses = []       # ids of these runs
@@ -266,14 +267,27 @@
             return False
         self.crashes.append((headers.get("x-request-id"), body,
                              time.monotonic()))
-        await self.crash()
+        if self.dark_crashes:
+            self.unresponsive = True
+            self.heartbeat_task.cancel()
+        else:
+            await self.crash()
         asyncio.get_running_loop().call_later(
             self.restart_delay_s,
             lambda: asyncio.ensure_future(self.restart()))
         return True
 
+    async def end_of_crashed_run(self):
+        """The run gets no response; its connection ends with the target."""
+        while self.unresponsive:
+            await asyncio.sleep(0.02)
+        return None
+
     async def restart(self):
         """Starts a new incarnation unless the target is up already."""
+        if self.unresponsive:
+            await self.crash()
+            self.unresponsive = False
         if not self.up:
             self.deregister()
             await self.start()
@@ -319,7 +333,7 @@
             return Response(200, {"X-Instance-Id": self.id})
         self.record_run(headers, target)
         if await self.crash_by(headers, body):
-            return None
+            return await self.end_of_crashed_run()
         self.active_runs += 1
         self.bodies_in_progress.append(body)
         try:
@@ -476,7 +490,7 @@
             return self.not_executed(headers, 421)
         self.record_run(headers, target, adapter, version)
         if await self.crash_by(headers, body):
-            return None
+            return await self.end_of_crashed_run()
         length = int(headers.get("x-token-usage", "0,10").split(",")[1])
         last = int(headers.get("last-event-id", 0))
         return Response(200, dict(self.response_headers(headers), **{
