--- a/packages/quarantine/include/quarantine/crash_record.h
+++ b/packages/quarantine/include/quarantine/crash_record.h
@@ -36,7 +36,7 @@
 
 struct cm_crash_record {
     TAILQ_ENTRY(cm_crash_record) link;
-    uint64_t id; ///< chosen at random by the observer
+    uint64_t id; ///< random, from the observer
     enum cm_crash_record_kind kind;
     struct timespec at; ///< when it happened, by the clock of this process
     char target[CM_CRASH_NAME_SIZE]; ///< incarnation, "" for a content
--- a/packages/quarantine/tests/quarantine_test.c
+++ b/packages/quarantine/tests/quarantine_test.c
@@ -16,8 +16,8 @@
 /// Run time from which on a crash counts as late.
 #define LATE_MS 100
 
-/// One record of a case. `contents` has one letter per content, each running
-/// for `ran_ms` when the target ended.
+/// One record of a case. `contents` has one character per content, each
+/// running for `ran_ms` when the target ended.
 struct entry {
     int64_t at_ms;
     enum cm_crash_record_kind kind;
@@ -34,7 +34,7 @@
 static const struct {
     const char *what;
     struct entry entries[12];
-    const char *refused; ///< one letter per content
+    const char *refused; ///< one character per content
 } cases[] = {
     {"two crashes", {{0, CRASH, "t1", "p", 2}, {9, CRASH, "t2", "p", 2}}, ""},
     {"three crashes",
@@ -217,7 +217,7 @@
         const char *crash;
         const char *contents[4];
     } crashes[4];
-    const char *refused; ///< one letter per content
+    const char *refused; ///< one character per content
 } agent_cases[] = {
     {"one crash", {{"c1", {"a", "b"}}}, ""},
     {"same content twice", {{"c1", {"a", "b"}}, {"c2", {"a", "x"}}}, "a"},
--- a/programs/coriandermoor/gateway/peer_gossip.c
+++ b/programs/coriandermoor/gateway/peer_gossip.c
@@ -174,7 +174,7 @@
     char peers[CM_GOSSIP_FANOUT][CM_CRASH_NAME_SIZE];
     n = CmGossip_ChoosePeers(&gateway->gossip, Gateway_Now(gateway),
                              MIN(n, CM_GOSSIP_FANOUT), chosen);
-    // A failed call changes the peers to which `chosen` points.
+    // A failed call may remove the peers whose addresses these are.
     for (size_t i = 0; i < n; i++) {
         g_strlcpy(peers[i], chosen[i], sizeof(peers[i]));
     }
