fix(gateway): use live targets that come back with the store's older copy

The first return had shown no targets for over 2.5 s, so they were taken as gone; the second one showed them, but each gateway waited for their entries to be written again, and a live engine with nothing new to say writes none.

Cause: every unknown target in the list after a return was taken for one that may have left, without a limit in time.

Change: only incarnations that this gateway has seen leave are held back, for 5 s, in which the entry of an engine without heartbeats expires; then the list is read once more. The soak draws returns of the store twice as often as other store faults.

Evidence: e2e-platform, live_targets_lost_twice, failed before (no gateway served within 10 s) and passes; starts_with_older_copy, which guards the other direction, and store_restored_from_older_copy pass.

--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -86,6 +86,9 @@
     struct cm_store_watch version_watch;
     struct timespec restored_at; ///< last return of the store from a copy
     bool listing_targets;        ///< the targets' list is being read
+    bool skipped_targets;        ///< it had targets that may have left
+    /// Incarnations that the store no longer listed, with the time.
+    GHashTable *left_targets;
     struct event *removal_timer; ///< delays removal of unlisted targets
 
     struct cm_h1_listener callers_listener;
--- a/programs/coriandermoor/gateway/store_watches.c
+++ b/programs/coriandermoor/gateway/store_watches.c
@@ -30,9 +30,12 @@
 /// again.
 #define REMOVAL_DELAY_MS 2500
 
-/// Time after the store came back from an older copy in which a listed target
-/// may have left already. By then its entry is written again or has expired.
-#define OLD_ENTRIES_MS 15000
+/// Time after the store came back from an older copy in which it may list
+/// targets that had left. By then their entries have expired.
+#define OLD_ENTRIES_MS 5000
+/// Time for which it is remembered that a target has left: more than the age
+/// of a copy.
+#define LEFT_TARGETS_MS 60000
 
 /// Puts `catalog` into force if its version is higher than the current one,
 /// otherwise frees it.
@@ -108,14 +111,47 @@
                          Gateway_Now(listed->gateway));
 }
 
-/// @return whether an entry of an unknown target may be older than what this
-/// gateway knows: it is listed by a store that has just come back from a copy.
+/// Names an incarnation: an id alone may be used again.
+static char *
+incarnation_key(const char *id, int64_t started_ms)
+{
+    return g_strdup_printf("%s/%" PRId64, id, started_ms);
+}
+
+static gboolean
+left_long_ago(void *key, void *value, void *now)
+{
+    return CmTime_DiffMs(*(struct timespec *)now, *(struct timespec *)value) >
+           LEFT_TARGETS_MS;
+}
+
+/// Remembers that the store no longer lists a target.
+static void
+remember_left(struct gateway *gateway, const struct cm_live_target *target)
+{
+    struct timespec *left_at = g_new(struct timespec, 1);
+    *left_at = Gateway_Now(gateway);
+    g_hash_table_foreach_remove(gateway->left_targets, left_long_ago, left_at);
+    g_hash_table_replace(gateway->left_targets,
+                         incarnation_key(target->id, target->started_ms),
+                         left_at);
+}
+
+/// @return whether the entry is of a target that had left before the store
+/// came back from an older copy. Its list shows such targets until they
+/// expire.
 static bool
-is_old_entry(const struct gateway *gateway)
+is_old_entry(const struct gateway *gateway, const struct cm_target_info *info)
 {
-    return gateway->listing_targets && gateway->restored_at.tv_sec != 0 &&
-           CmTime_DiffMs(Gateway_Now(gateway), gateway->restored_at) <
-               OLD_ENTRIES_MS;
+    if (!gateway->listing_targets || gateway->restored_at.tv_sec == 0 ||
+        CmTime_DiffMs(Gateway_Now(gateway), gateway->restored_at) >=
+            OLD_ENTRIES_MS) {
+        return false;
+    }
+    char *key = incarnation_key(info->id, info->started_ms);
+    bool left = g_hash_table_contains(gateway->left_targets, key);
+    g_free(key);
+    return left;
 }
 
 static void
@@ -130,11 +166,12 @@
         return;
     }
     struct cm_live_target *known = CmTargets_Find(&gateway->targets, name);
-    if (known == NULL && is_old_entry(gateway)) {
+    if (known == NULL && is_old_entry(gateway, &info)) {
         CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
-                    "%s may have left before the store came back: no work "
-                    "until its entry is written again",
+                    "%s had left before the store came back: no work until "
+                    "its entry is written again or does not expire",
                     name);
+        gateway->skipped_targets = true;
         return;
     }
     bool was_draining = known != NULL && known->draining;
@@ -165,6 +202,11 @@
     struct gateway *gateway = context;
     CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
                 "%s is no longer listed: no new work", name);
+    const struct cm_live_target *target =
+        CmTargets_Find(&gateway->targets, name);
+    if (target != NULL) {
+        remember_left(gateway, target);
+    }
     CmTargets_Remove(&gateway->targets, name);
 }
 
@@ -173,6 +215,7 @@
 {
     struct gateway *gateway = context;
     gateway->listing_targets = true;
+    gateway->skipped_targets = false;
     CmTargets_BeginList(&gateway->targets);
 }
 
@@ -196,6 +239,9 @@
 {
     struct gateway *gateway = context;
     gateway->listing_targets = false;
+    if (gateway->skipped_targets) {
+        CmStoreWatch_ListAgain(&gateway->target_watch, OLD_ENTRIES_MS);
+    }
     if (gateway->targets.count == 0) {
         return;
     }
@@ -281,6 +327,8 @@
                                            SLOW_WATCH_TIMEOUT_MS};
     struct cm_store_poll_timing target = target_timing(gateway);
     struct cm_store *store = &gateway->store;
+    gateway->left_targets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->removal_timer = evtimer_new(gateway->base, on_removal, gateway);
     static const struct cm_store_era_listener eras = {on_era_changed,
                                                       on_era_listed};
@@ -301,4 +349,5 @@
     CmStoreWatch_Finish(&gateway->target_watch);
     CmStoreWatch_Finish(&gateway->version_watch);
     event_free(gateway->removal_timer);
+    g_hash_table_destroy(gateway->left_targets);
 }
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -313,13 +313,10 @@
     async def disrupt_store(self):
         store = self.deployment.store
         self.record_fault("store")
-        kind = self.random.choice(["hang", "error", "compact", "restore"])
+        kind = self.random.choice(["hang", "error", "compact"])
         if kind == "compact":
             store.compact_history()
             return
-        if kind == "restore":
-            await self.restore_store()
-            return
         store.unresponsive, store.error_status = (
             kind == "hang", 503 * (kind == "error"))
         await asyncio.sleep(self.random.uniform(0.5, 4))
@@ -331,6 +328,7 @@
         operator and the engines wrote is written again, in any order."""
         d = self.deployment
         store = d.store
+        self.record_fault("store")
         store.unresponsive = True
         await asyncio.sleep(self.random.uniform(0.1, 1))
         store.restore(self.random.choice(self.store_copies),
@@ -379,6 +377,7 @@
         kinds = [self.kill, self.pause, self.planned_stop, self.disrupt_links,
                  self.disrupt_links, self.disrupt_engine,
                  self.disrupt_plain_target, self.disrupt_store,
+                 self.restore_store, self.restore_store,
                  self.change_configuration, self.change_configuration]
         running_faults = {}
         end = time.monotonic() + self.seconds
