test(e2e-silence): responses cut while their target is silent

Targets fall silent for 1.2 to 1.8 s and go on, while slots are taken, the budget of retries is spent, or agents are down, busy or slow, with a change of the configuration every 0.3 to 1.5 s. A last case adds load from 30 callers with 14 adapters for 12 slots. No response may be cut or failed by a gateway before its deadline, events must be complete and in order, and no request may run on at a target for over 400 ms after it was sent to another one.

The stand-ins learn to be silent without stopping, and record when a request ends. Deployments take a reserve of retries for each gateway.

--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -47,12 +47,14 @@
     gateways at 127.0.3.N, the store at 127.0.4.1."""
 
     def __init__(self, build, folder, engines=3, plains=2, gateways=2,
-                 adapter_slots=3, port=23000, drain_ms=2000, files=1000):
+                 adapter_slots=3, port=23000, drain_ms=2000, files=1000,
+                 retry_reserves=None):
         self.build, self.folder = pathlib.Path(build), pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.port = port
         self.drain_ms = drain_ms
         self.files = files
+        self.retry_reserves = retry_reserves or {}  # by gateway, otherwise 50
         self.adapter_slots = adapter_slots
         self.store = Store("127.0.4.1", port)
         self.engines = [
@@ -91,7 +93,8 @@
             f'seeds: ["127.0.3.1:{self.port + 3}", '
             f'"127.0.3.2:{self.port + 3}"]\n'
             f'store: "{self.store.address}"\nagent_port: {self.port + 1}\n'
-            'retry_ratio: 0.2\nretry_reserve: 50\nretry_window_s: 10\n'
+            f'retry_ratio: 0.2\nretry_window_s: 10\n'
+            f'retry_reserve: {self.retry_reserves.get(i, 50)}\n'
             f'stop_s: 8\ndrain_ms: {self.drain_ms}\nfiles: {self.files}\n'))
         return Process(f"gateway{i}", [
             str(self.build / "coriandermoor"), "gateway", "--settings",
@@ -116,6 +119,7 @@
                   resumable=True, targetGapMs=300),
             route("once", "unsafe", "app", PLAIN_TIMEOUT_MS, 1),
             route("again", "safe", "app", PLAIN_TIMEOUT_MS, 2),
+            route("patient", "safe", "app", STREAM_TIMEOUT_MS, 2),
             route("large", "safe", "app", PLAIN_TIMEOUT_MS, 2),
             route("slow-once", "unsafe", "app", STREAM_TIMEOUT_MS, 1),
         ] + [route(name, "safe", "app", PLAIN_TIMEOUT_MS, 2)
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -27,12 +27,15 @@
     """A small HTTP/1.1 server; subclasses implement handle().
 
     handle() returns a Response, or None to close the connection without one.
-    While `unresponsive` is set, requests are read but not answered.
+    While `unresponsive` is set, requests are read but not answered. While
+    `silent` is set, requests begin and go on, but nothing is sent.
     """
 
     def __init__(self, host, port):
         self.host, self.port = host, port
         self.unresponsive = False
+        self.silent = False
+        self.ended = []  # (request id, time) of requests, sent or broken off
         self.connections = set()
         self.server = None
 
@@ -81,10 +84,22 @@
         response = await self.handle(method, target, headers, body, writer)
         if response is None:
             return False
-        await self.send_response(writer, response)
+        try:
+            await self.send_response(reader, writer, response)
+        finally:
+            if "x-request-id" in headers:
+                self.ended.append((headers["x-request-id"],
+                                   time.monotonic()))
         return True
 
-    async def send_response(self, writer, response):
+    async def wait_while_silent(self, reader, writer):
+        while self.silent:
+            if reader.at_eof() or writer.transport.is_closing():
+                raise ConnectionError
+            await asyncio.sleep(0.02)
+
+    async def send_response(self, reader, writer, response):
+        await self.wait_while_silent(reader, writer)
         head = [f"HTTP/1.1 {response.status} X"]
         head += [f"{k}: {v}" for k, v in response.headers.items()]
         if response.chunks is None:
@@ -97,6 +112,7 @@
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
         try:
             async for chunk in response.chunks:
+                await self.wait_while_silent(reader, writer)
                 if writer.transport.is_closing():
                     raise ConnectionError
                 writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
