test(e2e-prompt-parts): a part of prompts that crashes its targets

One part of a prompt (X-Prompt-Prefix, never the last) may crash each engine that begins to write an answer on it, in requests that share nothing else. At most three such requests may be sent later than 3 s after the fifth crash, and sound requests with the same first part must be served from 6 s after it.

--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -230,12 +230,13 @@
         self.runs = []  # [id, path, adapter, version, incarnation, time]
         self.bodies_in_progress = []
         self.crashing_bodies = set()  # end the target that runs one of them
-        self.crashes = []  # [id, body, time] of runs that ended the target
+        self.crashing_parts = set()   # parts of prompts that do so, as bytes
+        self.crashes = []  # [id, body or part, time] of runs that ended it
         self.restart_delay_s = 1.0  # after such a crash
         self.dark_crashes = False  # silent until the restart, not closed
         self.crash_delay_s = 0.0   # time from the start of such a run
         self.crash_in_stream = False  # engines stream events until then
-        self.crashing_runs = []    # [id, body, time of start] of such runs
+        self.crashing_runs = []    # [id, body or part, time of their start]
         self.server_limit = None  # requests a second, named in responses
         self.arrivals = []        # [id, incarnation, time] of all requests
         self.limits_told = []     # [id, incarnation, time, limit] of responses
@@ -265,21 +266,32 @@
     def deregister(self):
         self.store.delete("servers", self.id)
 
+    def crash_cause(self, headers, body):
+        """The body, or the part of the prompt, that ends the target when it
+        runs the request; None for none."""
+        if body in self.crashing_bodies:
+            return body
+        for part in headers.get("x-prompt-prefix", "").split(",")[:-1]:
+            if part.partition(":")[0].encode() in self.crashing_parts:
+                return part.partition(":")[0].encode()
+        return None
+
     async def crash_by(self, headers, body):
-        """Crashes and restarts if a run of `body` ends the target.
+        """Crashes and restarts if a run of the request ends the target.
 
         Returns whether it does.
         """
-        if body not in self.crashing_bodies:
+        cause = self.crash_cause(headers, body)
+        if cause is None:
             return False
         incarnation = self.id
-        self.crashing_runs.append((headers.get("x-request-id"), body,
+        self.crashing_runs.append((headers.get("x-request-id"), cause,
                                    time.monotonic()))
         if self.crash_delay_s > 0:
             await asyncio.sleep(self.crash_delay_s)
         if incarnation != self.id or not self.up:
             return True  # another run has ended this target
-        self.crashes.append((headers.get("x-request-id"), body,
+        self.crashes.append((headers.get("x-request-id"), cause,
                              time.monotonic()))
         if self.dark_crashes:
             self.unresponsive = True
@@ -518,7 +530,7 @@
         if expected is not None and int(expected) != version:
             return self.not_executed(headers, 421)
         self.record_run(headers, target, adapter, version)
-        if self.crash_in_stream and body in self.crashing_bodies:
+        if self.crash_in_stream and self.crash_cause(headers, body):
             asyncio.ensure_future(self.crash_by(headers, body))
         elif await self.crash_by(headers, body):
             return await self.end_of_crashed_run()
