--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -239,8 +239,11 @@
 }
 
 void
-CallerConn_Abort(struct caller_conn *caller)
+CallerConn_Abort(struct caller_conn *caller, bool deliver)
 {
     caller->request = NULL;
+    if (deliver) {
+        CmH1Conn_FinishAfterWrite(&caller->conn);
+    }
     caller_free(caller);
 }
--- a/programs/coriandermoor/gateway/caller_conns.h
+++ b/programs/coriandermoor/gateway/caller_conns.h
@@ -44,8 +44,9 @@
 CallerConn_EndResponse(struct caller_conn *caller, bool keep);
 
 /// Closes the connection without completing the response.
+/// @param deliver whether the output so far is written first.
 void
-CallerConn_Abort(struct caller_conn *caller);
+CallerConn_Abort(struct caller_conn *caller, bool deliver);
 
 /// @return whether the connection may stay open after the current response.
 bool
--- a/programs/coriandermoor/gateway/responses.c
+++ b/programs/coriandermoor/gateway/responses.c
@@ -99,10 +99,11 @@
 Response_Abort(struct request *request, const char *reason)
 {
     struct caller_conn *caller = request->caller;
+    bool deliver = !request->caller_stalled;
     Response_Log(request, "cut", 0, reason);
     request->gateway->count.cut.value++;
     Request_Free(request);
-    CallerConn_Abort(caller);
+    CallerConn_Abort(caller, deliver);
 }
 
 void
--- a/programs/coriandermoor/gateway/responses.h
+++ b/programs/coriandermoor/gateway/responses.h
@@ -21,7 +21,8 @@
 Response_Forward(struct request *request);
 
 /// Closes the connection in the middle of a response, so that the caller can
-/// tell that it is incomplete.
+/// tell that it is incomplete. Events that were written before still reach a
+/// caller that reads.
 void
 Response_Abort(struct request *request, const char *reason);
 
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -14,13 +14,18 @@
 
 
 class Response:
-    """One HTTP response: a fixed body, or `chunks` (an async generator)."""
+    """One HTTP response: a fixed body, or `chunks` (an async generator).
 
-    def __init__(self, status=200, headers=None, body=b"", chunks=None):
+    With ends_by_close the body has no length and ends with the connection.
+    """
+
+    def __init__(self, status=200, headers=None, body=b"", chunks=None,
+                 ends_by_close=False):
         self.status = status
         self.headers = headers or {}
         self.body = body
         self.chunks = chunks
+        self.ends_by_close = ends_by_close
 
 
 class Server:
@@ -82,13 +87,14 @@
         if response is None:
             return False
         await self.send_response(writer, response)
-        return True
+        return not response.ends_by_close
 
     async def send_response(self, writer, response):
         head = [f"HTTP/1.1 {response.status} X"]
         head += [f"{k}: {v}" for k, v in response.headers.items()]
         if response.chunks is None:
-            head.append(f"Content-Length: {len(response.body)}")
+            if not response.ends_by_close:
+                head.append(f"Content-Length: {len(response.body)}")
             writer.write(("\r\n".join(head) + "\r\n\r\n").encode()
                          + response.body)
             await writer.drain()
@@ -401,6 +407,9 @@
         self.delayed_order_rate = 0.0
         # If not 0, each stream is cut after this number of events.
         self.cut_after_events = 0
+        # If not 0, each stream is this number of events and a part of the next
+        # one, sent at once and without a length.
+        self.cut_inside_event = 0
         self.event_padding_bytes = 0  # added to the data of each event
 
     async def start(self, model=True):
@@ -524,9 +533,15 @@
             return await self.end_of_crashed_run()
         length = int(headers.get("x-token-usage", "0,10").split(",")[1])
         last = int(headers.get("last-event-id", 0))
-        return Response(200, dict(self.response_headers(headers), **{
-            "Content-Type": "text/event-stream"}),
-            chunks=self.generate_events(adapter, last, length))
+        response_headers = dict(self.response_headers(headers), **{
+            "Content-Type": "text/event-stream"})
+        if self.cut_inside_event:
+            events = "".join(f"id: {n}\ndata: {adapter} {n}\n\n" for n in
+                             range(last + 1, last + self.cut_inside_event + 2))
+            return Response(200, response_headers, events[:-3].encode(),
+                            ends_by_close=True)
+        return Response(200, response_headers,
+                        chunks=self.generate_events(adapter, last, length))
 
     async def generate_events(self, adapter, last, length):
         incarnation = self.id
