--- a/packages/dispatch/src/event_stream.c
+++ b/packages/dispatch/src/event_stream.c
@@ -78,6 +78,9 @@
         if (length == 0) {
             break;
         }
+        if (length > CM_EVENT_MAX_BYTES) {
+            return false;
+        }
         consumed += length;
         int64_t id = event_id(text, length);
         if (id >= 0 && id <= events->last_id) {
--- a/packages/dispatch/tests/decisions_test.c
+++ b/packages/dispatch/tests/decisions_test.c
@@ -362,6 +362,45 @@
     }
 }
 
+/// The limit of an event's length holds whether or not the event is complete
+/// when it is read. Events before it are forwarded.
+static void
+test_event_stream_limit(void)
+{
+    static const struct {
+        size_t length; ///< of the second event
+        bool complete;
+        bool valid;
+    } cases[] = {
+        {CM_EVENT_MAX_BYTES, true, true},
+        {CM_EVENT_MAX_BYTES + 1, true, false},
+        {CM_EVENT_MAX_BYTES, false, true},
+        {CM_EVENT_MAX_BYTES + 1, false, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *event = g_string_new("data: ");
+        while (event->len < cases[i].length) {
+            g_string_append_c(event, 'x');
+        }
+        if (cases[i].complete) {
+            memset(event->str + event->len - 2, '\n', 2);
+        }
+        g_string_prepend(event, EVENT(1));
+        struct cm_event_stream events;
+        CmEventStream_Init(&events, -1);
+        GString *out = g_string_new(NULL);
+        CU_ASSERT_EQUAL(
+            CmEventStream_Feed(&events, event->str, event->len, out),
+            cases[i].valid);
+        bool forwarded = cases[i].complete && cases[i].valid;
+        CU_ASSERT_EQUAL(out->len,
+                        forwarded ? event->len : strlen(EVENT(1)));
+        g_string_free(out, TRUE);
+        g_string_free(event, TRUE);
+        CmEventStream_Finish(&events);
+    }
+}
+
 /// A stream that another target resumes repeats no event, and its incomplete
 /// event is dropped.
 static void
@@ -392,6 +431,7 @@
     {"statuses that imply that nothing ran", test_classify_status},
     {"retry decisions, all states", test_retry_steps_exhaustive},
     {"event stream", test_event_stream},
+    {"event stream, longest event", test_event_stream_limit},
     {"event stream, resumed", test_event_stream_resume},
 };
 
