feat(gateway): a target that says that it leaves gets no new work

Cause: a target that ends soon says so in all of its responses (Server-Leaving: 1). The gateway read only the store, which may be away, come back from an older copy, or list the target as ready again.

Change: the header of any response is recorded for the incarnation that answered (dispatch/notices.c). The record outlives the target's entry, so that an entry that vanishes and is written again is bound as well; another id or a later start isn't. CmTarget_MayGetWork() decides for all work, in place of checks of `draining` and `removed` at six places: for picks, base model loads, Retry-After at a rate limit, and in Request_SendTo() for every send, as a request may have waited for a lease, a permit or a trial. A target that leaves by its own word is no crash suspect for what it cuts off, and a gateway that starts learns of it with the facts of a peer. Log component "notice", gauge cm_gateway_leaving_targets.

--- /dev/null
+++ b/packages/dispatch/include/dispatch/notices.h
@@ -0,0 +1,54 @@
+/// @file notices.h
+/// What targets say of themselves in their responses, and whether a target may
+/// get work.
+
+#ifndef DISPATCH_NOTICES_H
+#define DISPATCH_NOTICES_H
+
+#include "dispatch/targets.h"
+
+/// Initializes the notices of a table, and frees them.
+void
+CmNotices_Init(struct cm_targets *targets);
+void
+CmNotices_Finish(struct cm_targets *targets);
+
+/// Gives a new entry what its incarnation has said before.
+void
+CmNotices_Attach(const struct cm_targets *targets,
+                 struct cm_live_target *target);
+
+/// Releases the notice of an entry that is being freed.
+void
+CmNotices_Detach(struct cm_live_target *target);
+
+/// Records that a target says that it leaves. It holds for the incarnation,
+/// also after its entry in the platform's list is gone or written again.
+/// @return whether that is new.
+bool
+CmNotices_AddLeaving(struct cm_targets *targets, struct cm_live_target *target,
+                     struct timespec now);
+
+/// @return whether the target leaves, by the platform's list or its own word.
+bool
+CmTarget_IsLeaving(const struct cm_live_target *target);
+
+/// Decides for all work whether a target may get it: it is listed and does not
+/// leave.
+bool
+CmTarget_MayGetWork(const struct cm_live_target *target, struct timespec now);
+
+/// Calls `visit` for each incarnation that has said something, until it is
+/// forgotten.
+/// @param target its entry in the table, NULL if there is none.
+void
+CmNotices_ForEach(struct cm_targets *targets,
+                  void (*visit)(void *context, struct cm_notice *notice,
+                                struct cm_live_target *target),
+                  void *context);
+
+/// Forgets incarnations without an entry that were last heard long ago.
+void
+CmNotices_Expire(struct cm_targets *targets, struct timespec now);
+
+#endif
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -48,6 +48,17 @@
     struct timespec received_at; ///< 0 if there was no report
 };
 
+/// What one incarnation of a target has said of itself in its responses.
+/// Reference-counted, as its entries in the table come and go.
+struct cm_notice {
+    char *id;
+    char *incarnation;             ///< id and start, the key in the table
+    bool leaving;                  ///< it ends soon; is never withdrawn
+    struct timespec leaving_since; ///< when it was first heard
+    bool gone;                     ///< its end has been noticed
+    struct timespec heard;         ///< when it last said something
+};
+
 struct cm_targets;
 
 /// One target of the table; attempts hold references to it.
@@ -90,6 +101,7 @@
     bool rate_limited;              ///< names a rate limit
     struct timespec limit_heard;    ///< when it last named it
     struct timespec at_limit_until; ///< no permit is to be had before
+    struct cm_notice *notice;       ///< NULL until it says something
 };
 
 LIST_HEAD(cm_target_list, cm_live_target);
@@ -102,6 +114,7 @@
     const char *zone; ///< of this gateway
     int agent_port;
     GHashTable *versions; ///< adapter key to int64_t, announced versions
+    GHashTable *notices;  ///< incarnation to struct cm_notice
 };
 
 #endif
--- a/packages/dispatch/src/pick.c
+++ b/packages/dispatch/src/pick.c
@@ -17,6 +17,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "dispatch/notices.h"
 
 /// Wait that a target in another zone has to save before it is chosen: keeps
 /// traffic in the zone while targets are about equally busy.
@@ -91,7 +92,7 @@
              const struct cm_pick_request *request, uint64_t pick,
              struct timespec now)
 {
-    return target->last_pick != pick && !target->draining &&
+    return target->last_pick != pick && CmTarget_MayGetWork(target, now) &&
            !CmTime_Before(now, target->at_limit_until) &&
            (target->has_model || !request->needs_model) &&
            // Targets from the adapter index may belong to another service.
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "dispatch/notices.h"
 
 /// Lost attempts in a row after which a target is ejected.
 #define EJECT_FAILURES 3
@@ -29,6 +30,7 @@
     *targets = (struct cm_targets){.zone = zone, .agent_port = agent_port};
     LIST_INIT(&targets->list);
     CmTargetIndex_Init(&targets->index);
+    CmNotices_Init(targets);
     targets->versions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -53,6 +55,7 @@
         remove_target(targets, target);
     }
     CmTargetIndex_Finish(&targets->index);
+    CmNotices_Finish(targets);
 }
 
 struct cm_live_target *
@@ -68,6 +71,7 @@
     if (--target->references > 0) {
         return;
     }
+    CmNotices_Detach(target);
     g_free(target->id);
     g_free(target->service);
     g_free(target->address);
@@ -104,6 +108,7 @@
     target->table = targets;
     LIST_INSERT_HEAD(&targets->list, target, link);
     CmTargetIndex_Add(&targets->index, target);
+    CmNotices_Attach(targets, target);
     targets->count++;
     return target;
 }
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -2,6 +2,7 @@
 /// Choice of targets with one load pattern per case, the limit of the queue
 /// wait, and the table of targets.
 
+#include "dispatch/notices.h"
 #include "dispatch/wait_limit.h"
 #include "dispatch/pick.h"
 
@@ -21,6 +22,7 @@
     int in_flight;    ///< requests of this gateway
     int slot_wait_ms; ///< until a load can start there
     bool draining;
+    bool leaving; ///< by its own word
     bool no_model;
     bool ejected;
     bool at_limit;     ///< no permit of its rate limit is to be had
@@ -64,6 +66,9 @@
     if (state->at_limit) {
         target->at_limit_until = CmTime_AddMs(now(), 1);
     }
+    if (state->leaving) {
+        CmNotices_AddLeaving(targets, target, now());
+    }
     target->rate_limited = state->rate_limited;
     target->limit_heard = CmTime_AddMs(now(), -state->limit_age_ms);
     return target;
@@ -112,6 +117,9 @@
         {"a draining engine is skipped",
          {{.resident = true, .draining = true}, {0}},
          1},
+        {"an engine that says that it leaves is skipped",
+         {{.resident = true, .leaving = true}, {0}},
+         1},
         {"an engine without its model is skipped",
          {{.resident = true, .no_model = true}, {0}},
          1},
--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "base/log.h"
+#include "dispatch/notices.h"
 #include "peer_gossip.h"
 #include "quarantine/trial.h"
 #include "request.h"
@@ -256,7 +257,7 @@
 static bool
 is_suspect(const struct attempt *attempt)
 {
-    return !attempt->target->draining && !attempt->target->removed;
+    return !CmTarget_IsLeaving(attempt->target) && !attempt->target->removed;
 }
 
 static void
@@ -385,7 +386,7 @@
     struct crash_suspicion *suspicion;
     CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
         if (suspicion->state != SUSPICION_CONFIRMED &&
-            !suspicion->target->draining &&
+            !CmTarget_IsLeaving(suspicion->target) &&
             suspicion->target->started_ms < target->started_ms &&
             strcmp(suspicion->target->address, target->address) == 0) {
             close_probe(suspicion);
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -13,6 +13,7 @@
 #include "peer_gossip.h"
 #include "rate_limits.h"
 #include "snapshot.h"
+#include "target_notices.h"
 
 #define QUARANTINE_PATH "/quarantine"
 #define STATUS_OK 200
@@ -61,6 +62,7 @@
     gateway->count.quarantined.value = (int64_t)gateway->quarantine.n_refused;
     gateway->count.on_trial.value = (int64_t)gateway->quarantine.n_on_trial;
     gateway->count.limited_targets.value = (int64_t)gateway->limits.n_named;
+    TargetNotices_UpdateGauges(gateway);
     CmCounters_Write(&gateway->count.all, text);
     CmHistogram_Write(endpoint->gateway->latency, N_LATENCIES, text);
     write_text(endpoint, STATUS_OK, text->str);
@@ -307,6 +309,9 @@
                         "Contents that are refused.");
     CmCounters_AddGauge(all, &count->on_trial, "cm_gateway_contents_on_trial",
                         "Contents that may only be run alone.");
+    CmCounters_AddGauge(all, &count->leaving_targets,
+                        "cm_gateway_leaving_targets",
+                        "Targets that say that they leave.");
     CmCounters_AddGauge(all, &count->limited_targets,
                         "cm_gateway_limited_targets",
                         "Targets that name a rate limit.");
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -8,7 +8,8 @@
 /// crash_watch.c finds contents that crash their targets, trial_claim.c has
 /// suspects run alone, and peer_gossip.c shares records with other gateways.
 /// rate_limits.c keeps the rate limits that targets name, and peer_call.c
-/// carries the messages between gateways.
+/// carries the messages between gateways. target_notices.c records what else
+/// targets say of themselves.
 /// store_watches.c maintains the tables that placement.c reads. While the
 /// store is unreachable at startup, peer_fetch.c fills them from a snapshot
 /// of another gateway. gateway_main.c initializes all of these.
@@ -59,6 +60,7 @@
     struct cm_counter gossip_bytes;
     struct cm_counter quarantined;
     struct cm_counter on_trial;
+    struct cm_counter leaving_targets;
     struct cm_counter limited_targets;
     struct cm_counter limit_permits;
     struct cm_counter limit_claims;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -10,6 +10,7 @@
 
 #include "base/log.h"
 #include "config/program.h"
+#include "dispatch/notices.h"
 #include "caller_conns.h"
 #include "crash_watch.h"
 #include "endpoints.h"
@@ -20,6 +21,7 @@
 #include "rate_limits.h"
 #include "reload.h"
 #include "store_watches.h"
+#include "target_notices.h"
 
 /// Interval of base model checks and shutdown progress.
 #define TICK_INTERVAL_MS 200
@@ -118,7 +120,7 @@
         const struct cm_service_spec *spec =
             CmCatalog_FindService(gateway->catalog, target->service);
         if (spec != NULL && spec->engine.model != NULL && !target->has_model &&
-            !target->draining) {
+            CmTarget_MayGetWork(target, Gateway_Now(gateway))) {
             Lease_LoadBaseModel(gateway, target, spec->engine.model);
         }
     }
@@ -158,6 +160,7 @@
         PeerGossip_Poll(gateway);
     }
     RateLimits_Tick(gateway);
+    TargetNotices_Tick(gateway);
     advance_shutdown(gateway);
 }
 
--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "dispatch/notices.h"
 #include "lease.h"
 #include "rate_limits.h"
 #include "request.h"
@@ -146,7 +147,7 @@
     size_t usable = 0;
     const struct cm_live_target *target;
     CmList_FOREACH (target, &request->gateway->targets.list, link) {
-        if (!target->draining &&
+        if (!CmTarget_IsLeaving(target) &&
             strcmp(target->service, request->service) == 0) {
             // An engine that takes longer has no local copy of its model.
             starting += !target->has_model &&
@@ -247,13 +248,8 @@
 void
 Request_LeaseGranted(struct request *request)
 {
-    struct cm_live_target *target = request->lease.target;
-    if (target->draining || target->removed) {
-        Request_LeaseDenied(request, "the target is draining or gone");
-        return;
-    }
     Request_CountLatency(request, LATENCY_LEASE);
-    Request_SendTo(request, target);
+    Request_SendTo(request, request->lease.target);
 }
 
 /// Records the shortest queue wait among the engines that denied a lease, as
--- a/programs/coriandermoor/gateway/rate_limits.c
+++ b/programs/coriandermoor/gateway/rate_limits.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "dispatch/notices.h"
 #include "peer_call.h"
 #include "placement.h"
 #include "quarantine/gossip_arbiter.h"
@@ -502,7 +503,7 @@
     for (guint i = 0; targets != NULL && i < targets->len; i++) {
         const struct cm_live_target *target = g_ptr_array_index(targets, i);
         int64_t wait_ms = CmTime_DiffMs(target->at_limit_until, now);
-        if (!target->draining && wait_ms > 0 &&
+        if (CmTarget_MayGetWork(target, now) && wait_ms > 0 &&
             (least_ms == 0 || wait_ms < least_ms)) {
             least_ms = wait_ms;
         }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "crash_watch.h"
+#include "dispatch/notices.h"
 #include "lease.h"
 #include "placement.h"
 #include "rate_limits.h"
@@ -191,6 +192,15 @@
 Request_SendTo(struct request *request, struct cm_live_target *target)
 {
     struct timespec now = Gateway_Now(request->gateway);
+    // It may have waited for a lease, a permit or a trial.
+    if (!CmTarget_MayGetWork(target, now)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "place", request->parsed.id,
+                    "%s may get no work any more: another target is picked",
+                    target->id);
+        Lease_Release(request);
+        Request_Place(request);
+        return;
+    }
     // Other gateways may have learned more since the request arrived.
     const char *reason;
     switch (TrialClaim_Admit(request, target, &reason)) {
--- a/programs/coriandermoor/gateway/snapshot.c
+++ b/programs/coriandermoor/gateway/snapshot.c
@@ -4,6 +4,7 @@
 #include "snapshot.h"
 
 #include "base/log.h"
+#include "dispatch/notices.h"
 #include "store_watches.h"
 
 /// @return the adapters in the target's slots, without those that are still
@@ -27,12 +28,13 @@
 static json_t *
 compose_target(const struct cm_live_target *target)
 {
-    return json_pack(
-        "{s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:o}", "id", target->id, "service",
-        target->service, "address", target->address, "zone", target->zone,
-        "slots", (json_int_t)target->max_requests, "started_ms",
-        (json_int_t)target->started_ms, "draining", (int)target->draining,
-        "has_model", (int)target->has_model, "held", compose_resident(target));
+    return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:b,s:b,s:o}", "id", target->id,
+                     "service", target->service, "address", target->address,
+                     "zone", target->zone, "slots",
+                     (json_int_t)target->max_requests, "started_ms",
+                     (json_int_t)target->started_ms, "draining",
+                     (int)CmTarget_IsLeaving(target), "has_model",
+                     (int)target->has_model, "held", compose_resident(target));
 }
 
 static json_t *
@@ -79,7 +81,7 @@
     json_t *draining = json_array();
     const struct cm_live_target *target;
     CmList_FOREACH (target, &gateway->targets.list, link) {
-        if (target->draining) {
+        if (CmTarget_IsLeaving(target)) {
             json_array_append_new(draining,
                                   json_pack("{s:s,s:I}", "id", target->id,
                                             "started_ms",
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -5,6 +5,7 @@
 
 #include "crash_watch.h"
 #include "rate_limits.h"
+#include "target_notices.h"
 
 /// Largest response body that is buffered before it is forwarded.
 #define BODY_MAX_BYTES ((size_t)8 * 1024 * 1024)
@@ -36,6 +37,7 @@
     attempt->has_head = true;
     CrashWatch_CountResponse(request);
     RateLimits_CountResponse(request);
+    TargetNotices_CountResponse(request);
     if (attempt->response.has_load) {
         CmTarget_SetReportedLoad(attempt->target, attempt->response.running,
                                  attempt->response.waiting,
--- /dev/null
+++ b/programs/coriandermoor/gateway/target_notices.c
@@ -0,0 +1,79 @@
+/// @file target_notices.c
+/// Records what targets say of themselves in their responses.
+
+#include "target_notices.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "dispatch/notices.h"
+#include "request.h"
+
+/// @return the target that the response tells of, or NULL if it is unknown:
+/// a misdirected request may have been answered by another incarnation.
+static struct cm_live_target *
+find_speaker(const struct request *request)
+{
+    const struct attempt *attempt = &request->attempt;
+    const char *instance = attempt->response.instance;
+    if (!attempt->response.misdirected || instance[0] == '\0' ||
+        strcmp(instance, attempt->target->id) == 0) {
+        return attempt->target;
+    }
+    return CmTargets_Find(&request->gateway->targets, instance);
+}
+
+void
+TargetNotices_CountResponse(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    struct cm_live_target *speaker = find_speaker(request);
+    if (speaker == NULL) {
+        return;
+    }
+    if (request->attempt.response.leaving &&
+        CmNotices_AddLeaving(&gateway->targets, speaker,
+                             Gateway_Now(gateway))) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "notice", request->parsed.id,
+                    "%s at %s says that it leaves: no new work", speaker->id,
+                    speaker->address);
+    }
+}
+
+static void
+end_notice(void *context, struct cm_notice *notice,
+           struct cm_live_target *target)
+{
+    const struct gateway *gateway = context;
+    struct timespec now = Gateway_Now(gateway);
+    if (notice->leaving && target == NULL && !notice->gone) {
+        notice->gone = true;
+        CmLog_Event(G_LOG_LEVEL_INFO, "notice", NULL,
+                    "%s is gone, %" PRId64 " ms after it said that it leaves",
+                    notice->incarnation,
+                    CmTime_DiffMs(now, notice->leaving_since));
+    }
+}
+
+void
+TargetNotices_Tick(struct gateway *gateway)
+{
+    CmNotices_ForEach(&gateway->targets, end_notice, gateway);
+    CmNotices_Expire(&gateway->targets, Gateway_Now(gateway));
+}
+
+static void
+count_notice(void *context, struct cm_notice *notice,
+             struct cm_live_target *target)
+{
+    struct gateway *gateway = context;
+    gateway->count.leaving_targets.value += notice->leaving && target != NULL;
+}
+
+void
+TargetNotices_UpdateGauges(struct gateway *gateway)
+{
+    gateway->count.leaving_targets.value = 0;
+    CmNotices_ForEach(&gateway->targets, count_notice, gateway);
+}
--- /dev/null
+++ b/programs/coriandermoor/gateway/target_notices.h
@@ -0,0 +1,22 @@
+/// @file target_notices.h
+/// Records what targets say of themselves in their responses, and logs when it
+/// begins and ends.
+
+#ifndef GATEWAY_TARGET_NOTICES_H
+#define GATEWAY_TARGET_NOTICES_H
+
+#include "gateway.h"
+
+/// Reads the head of a target's response.
+void
+TargetNotices_CountResponse(struct request *request);
+
+/// Notices what has ended.
+void
+TargetNotices_Tick(struct gateway *gateway);
+
+/// Updates the gauges of the metrics output.
+void
+TargetNotices_UpdateGauges(struct gateway *gateway);
+
+#endif
--- a/programs/coriandermoor/gateway/trial_claim.c
+++ b/programs/coriandermoor/gateway/trial_claim.c
@@ -119,20 +119,12 @@
     return TRIAL_WAITS;
 }
 
-/// Sends the request to the target that was picked before, unless that target
-/// has left meanwhile.
+/// Sends the request to the target that was picked before.
 static void
 resume(struct request *request)
 {
     struct cm_live_target *target = CmTarget_Ref(request->trial.target);
-    if (target->draining || target->removed) {
-        Request_ExcludeTarget(request, target);
-        Lease_Release(request);
-        Request_Place(request);
-    }
-    else {
-        Request_SendTo(request, target);
-    }
+    Request_SendTo(request, target);
     CmTarget_Unref(target);
 }
 
