--- a/packages/dispatch/include/dispatch/notices.h
+++ b/packages/dispatch/include/dispatch/notices.h
@@ -29,12 +29,28 @@
 CmNotices_AddLeaving(struct cm_targets *targets, struct cm_live_target *target,
                      struct timespec now);
 
+/// Records that a target wants no requests for a while. Of several pauses the
+/// one that ends last counts.
+/// @param draw random number from 0 to 1, so that gateways don't all return at
+/// the same moment.
+/// @return whether a pause begins.
+bool
+CmNotices_AddPause(struct cm_targets *targets, struct cm_live_target *target,
+                   int64_t pause_ms, double draw, struct timespec now);
+
+/// @return time in ms until the first of a service's targets ends its pause,
+/// or 0 if one of them may get work.
+/// @param needs_model leave out targets whose base model is not loaded.
+int64_t
+CmNotices_PauseLeftMs(const struct cm_targets *targets, const char *service,
+                      bool needs_model, struct timespec now);
+
 /// @return whether the target leaves, by the platform's list or its own word.
 bool
 CmTarget_IsLeaving(const struct cm_live_target *target);
 
-/// Decides for all work whether a target may get it: it is listed and does not
-/// leave.
+/// Decides for all work whether a target may get it: it is listed, does not
+/// leave and has not asked for a pause.
 bool
 CmTarget_MayGetWork(const struct cm_live_target *target, struct timespec now);
 
--- a/packages/dispatch/include/dispatch/retry_after.h
+++ b/packages/dispatch/include/dispatch/retry_after.h
@@ -21,4 +21,9 @@
 int64_t
 CmRetryAfter_AtLimitMs(int64_t permit_ms, int64_t refused, double draw);
 
+/// The same for a request that was refused as all targets asked for a pause.
+/// @param pause_ms time until the first pause ends.
+int64_t
+CmRetryAfter_AtPauseMs(int64_t pause_ms, double draw);
+
 #endif
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -56,7 +56,10 @@
     bool leaving;                  ///< it ends soon; is never withdrawn
     struct timespec leaving_since; ///< when it was first heard
     bool gone;                     ///< its end has been noticed
-    struct timespec heard;         ///< when it last said something
+    struct timespec paused_until;  ///< it wants no requests before
+    struct timespec pause_began;
+    bool pausing;          ///< until the end of the pause has been noticed
+    struct timespec heard; ///< when it last said something
 };
 
 struct cm_targets;
--- a/packages/dispatch/src/notices.c
+++ b/packages/dispatch/src/notices.c
@@ -14,6 +14,8 @@
 /// Time after its last word for which an incarnation without an entry is
 /// remembered: longer than the store keeps copies.
 #define NOTICE_KEPT_MS ((int64_t)60 * 60 * 1000)
+/// Longest random time that a gateway adds to a pause.
+#define PAUSE_SPREAD_MS 300
 
 static void
 notice_clear(void *value)
@@ -114,6 +116,58 @@
     return true;
 }
 
+bool
+CmNotices_AddPause(struct cm_targets *targets, struct cm_live_target *target,
+                   int64_t pause_ms, double draw, struct timespec now)
+{
+    if (pause_ms <= 0) {
+        return false;
+    }
+    struct cm_notice *notice = find_or_add(targets, target, now);
+    int64_t spread_ms = MIN(pause_ms, PAUSE_SPREAD_MS);
+    struct timespec until =
+        CmTime_AddMs(now, pause_ms + (int64_t)(draw * (double)spread_ms));
+    if (CmTime_Before(notice->paused_until, until)) {
+        notice->paused_until = until;
+    }
+    bool begins = !notice->pausing;
+    if (begins) {
+        notice->pausing = true;
+        notice->pause_began = now;
+    }
+    return begins;
+}
+
+static bool
+is_paused(const struct cm_live_target *target, struct timespec now)
+{
+    return target->notice != NULL &&
+           CmTime_Before(now, target->notice->paused_until);
+}
+
+int64_t
+CmNotices_PauseLeftMs(const struct cm_targets *targets, const char *service,
+                      bool needs_model, struct timespec now)
+{
+    const GPtrArray *of_service =
+        CmTargetIndex_OfService(&targets->index, service);
+    int64_t least_ms = 0;
+    for (guint i = 0; of_service != NULL && i < of_service->len; i++) {
+        const struct cm_live_target *target = g_ptr_array_index(of_service, i);
+        if (CmTarget_IsLeaving(target) ||
+            (needs_model && !target->has_model)) {
+            continue;
+        }
+        if (!is_paused(target, now)) {
+            return 0;
+        }
+        int64_t left_ms =
+            MAX(CmTime_DiffMs(target->notice->paused_until, now), 1);
+        least_ms = least_ms == 0 ? left_ms : MIN(least_ms, left_ms);
+    }
+    return least_ms;
+}
+
 bool
 CmTarget_IsLeaving(const struct cm_live_target *target)
 {
@@ -124,7 +178,8 @@
 bool
 CmTarget_MayGetWork(const struct cm_live_target *target, struct timespec now)
 {
-    return !target->removed && !CmTarget_IsLeaving(target);
+    return !target->removed && !CmTarget_IsLeaving(target) &&
+           !is_paused(target, now);
 }
 
 void
--- a/packages/dispatch/src/retry_after.c
+++ b/packages/dispatch/src/retry_after.c
@@ -34,3 +34,9 @@
     int64_t spread_ms = MAX(min_ms / 2, SPREAD_MIN_MS);
     return min_ms + (int64_t)(draw * (double)spread_ms);
 }
+
+int64_t
+CmRetryAfter_AtPauseMs(int64_t pause_ms, double draw)
+{
+    return pause_ms + (int64_t)(draw * SPREAD_MIN_MS);
+}
--- a/packages/dispatch/tests/decisions_test.c
+++ b/packages/dispatch/tests/decisions_test.c
@@ -123,6 +123,22 @@
     }
 }
 
+/// While all targets pause, the delay is never shorter than the first pause.
+static void
+test_retry_after_at_pause(void)
+{
+    static const struct {
+        int64_t pause_ms;
+        int64_t max_ms;
+    } cases[] = {{1, 251}, {2000, 2250}, {3600000, 3600250}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(CmRetryAfter_AtPauseMs(cases[i].pause_ms, 0),
+                        cases[i].pause_ms);
+        CU_ASSERT_EQUAL(CmRetryAfter_AtPauseMs(cases[i].pause_ms, 1),
+                        cases[i].max_ms);
+    }
+}
+
 static void
 test_traffic_split(void)
 {
@@ -393,8 +409,7 @@
             CmEventStream_Feed(&events, event->str, event->len, out),
             cases[i].valid);
         bool forwarded = cases[i].complete && cases[i].valid;
-        CU_ASSERT_EQUAL(out->len,
-                        forwarded ? event->len : strlen(EVENT(1)));
+        CU_ASSERT_EQUAL(out->len, forwarded ? event->len : strlen(EVENT(1)));
         g_string_free(out, TRUE);
         g_string_free(event, TRUE);
         CmEventStream_Finish(&events);
@@ -423,6 +438,7 @@
 static const struct cm_test tests[] = {
     {"delay of Retry-After", test_retry_after},
     {"delay of Retry-After at a rate limit", test_retry_after_at_limit},
+    {"delay of Retry-After during pauses", test_retry_after_at_pause},
     {"idle timeout of clients", test_client_idle_timeout},
     {"routes", test_routes},
     {"traffic split", test_traffic_split},
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -23,6 +23,7 @@
     int slot_wait_ms; ///< until a load can start there
     bool draining;
     bool leaving; ///< by its own word
+    bool paused;  ///< it asked for a pause
     bool no_model;
     bool ejected;
     bool at_limit;     ///< no permit of its rate limit is to be had
@@ -69,6 +70,9 @@
     if (state->leaving) {
         CmNotices_AddLeaving(targets, target, now());
     }
+    if (state->paused) {
+        CmNotices_AddPause(targets, target, 1, 0, now());
+    }
     target->rate_limited = state->rate_limited;
     target->limit_heard = CmTime_AddMs(now(), -state->limit_age_ms);
     return target;
@@ -120,6 +124,12 @@
         {"an engine that says that it leaves is skipped",
          {{.resident = true, .leaving = true}, {0}},
          1},
+        {"an engine that asked for a pause is skipped",
+         {{.resident = true, .paused = true}, {0}},
+         1},
+        {"all engines asked for a pause",
+         {{.resident = true, .paused = true}, {.paused = true}},
+         -1},
         {"an engine without its model is skipped",
          {{.resident = true, .no_model = true}, {0}},
          1},
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -312,6 +312,12 @@
     CmCounters_AddGauge(all, &count->leaving_targets,
                         "cm_gateway_leaving_targets",
                         "Targets that say that they leave.");
+    CmCounters_AddGauge(all, &count->paused_targets,
+                        "cm_gateway_paused_targets",
+                        "Targets that asked for a pause.");
+    CmCounters_Add(all, &count->pause_refusals,
+                   "cm_gateway_pause_refusals_total",
+                   "Requests refused as all targets asked for a pause.");
     CmCounters_AddGauge(all, &count->limited_targets,
                         "cm_gateway_limited_targets",
                         "Targets that name a rate limit.");
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -61,6 +61,8 @@
     struct cm_counter quarantined;
     struct cm_counter on_trial;
     struct cm_counter leaving_targets;
+    struct cm_counter paused_targets;
+    struct cm_counter pause_refusals;
     struct cm_counter limited_targets;
     struct cm_counter limit_permits;
     struct cm_counter limit_claims;
--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -12,6 +12,7 @@
 #include "lease.h"
 #include "rate_limits.h"
 #include "request.h"
+#include "target_notices.h"
 
 /// Longest wait for a lease at one agent. Covers an adapter load from the
 /// weight store under contention; beyond it another engine is faster.
@@ -187,6 +188,11 @@
             count_limit_refusal(request);
             reason = "targets are at the rate limits that they named";
         }
+        request->pause_left_ms = TargetNotices_PauseLeftMs(request);
+        if (request->pause_left_ms > 0) {
+            request->gateway->count.pause_refusals.value++;
+            reason = "all targets asked for a pause";
+        }
         Request_GiveUp(request, reason);
         return;
     }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -323,7 +323,9 @@
     if (end == CM_ATTEMPT_UNSENT) {
         TrialClaim_CountUnsent(request);
     }
-    if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST) {
+    // A target that asks for a pause has not failed.
+    if (!request->attempt.response.has_pause &&
+        (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST)) {
         CmTarget_CountLost(target, now);
     }
     else if (end == CM_ATTEMPT_FAILED) {
@@ -373,7 +375,8 @@
         return;
     }
     enum cm_attempt_end attempt_end = classify(request, end);
-    if (end == CM_H1_CALL_INTERRUPTED && attempt_end == CM_ATTEMPT_LOST) {
+    if (end == CM_H1_CALL_INTERRUPTED && attempt_end == CM_ATTEMPT_LOST &&
+        !request->attempt.response.has_pause) {
         CrashWatch_CountCutOff(request);
     }
     else if (attempt_end == CM_ATTEMPT_FAILED) {
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -94,6 +94,8 @@
     bool busy_is_final;        ///< a busy reply rules this engine out
     int64_t min_queue_wait_ms; ///< shortest that agents reported; 0 for none
     int64_t at_limit_ms; ///< until a permit may be had; 0 for none missing
+    /// Until the first target ends its pause; 0 unless all of them pause.
+    int64_t pause_left_ms;
     bool caller_stalled; ///< too much output is unread by the caller
     bool quarantined;    ///< refused, as its content crashes targets
     char
--- a/programs/coriandermoor/gateway/responses.c
+++ b/programs/coriandermoor/gateway/responses.c
@@ -52,6 +52,9 @@
         return -1;
     }
     double draw = g_rand_double(request->gateway->random);
+    if (request->pause_left_ms > 0) {
+        return CmRetryAfter_AtPauseMs(request->pause_left_ms, draw);
+    }
     return request->at_limit_ms > 0
                ? CmRetryAfter_AtLimitMs(request->at_limit_ms,
                                         request->gateway->limit_refusals, draw)
--- a/programs/coriandermoor/gateway/target_notices.c
+++ b/programs/coriandermoor/gateway/target_notices.c
@@ -32,13 +32,31 @@
     if (speaker == NULL) {
         return;
     }
-    if (request->attempt.response.leaving &&
-        CmNotices_AddLeaving(&gateway->targets, speaker,
-                             Gateway_Now(gateway))) {
+    const struct cm_target_response *response = &request->attempt.response;
+    struct timespec now = Gateway_Now(gateway);
+    if (response->leaving &&
+        CmNotices_AddLeaving(&gateway->targets, speaker, now)) {
         CmLog_Event(G_LOG_LEVEL_WARNING, "notice", request->parsed.id,
                     "%s at %s says that it leaves: no new work", speaker->id,
                     speaker->address);
     }
+    if (response->has_pause &&
+        CmNotices_AddPause(&gateway->targets, speaker, response->pause_ms,
+                           g_rand_double(gateway->random), now)) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "notice", request->parsed.id,
+                    "%s at %s asks for a pause of %" PRId64
+                    " ms: no requests meanwhile",
+                    speaker->id, speaker->address, response->pause_ms);
+    }
+}
+
+int64_t
+TargetNotices_PauseLeftMs(const struct request *request)
+{
+    const struct gateway *gateway = request->gateway;
+    return CmNotices_PauseLeftMs(&gateway->targets, request->service,
+                                 request->parsed.model != NULL,
+                                 Gateway_Now(gateway));
 }
 
 static void
@@ -54,6 +72,13 @@
                     notice->incarnation,
                     CmTime_DiffMs(now, notice->leaving_since));
     }
+    if (notice->pausing && !CmTime_Before(now, notice->paused_until)) {
+        notice->pausing = false;
+        CmLog_Event(G_LOG_LEVEL_INFO, "notice", NULL,
+                    "the pause of %s ends after %" PRId64 " ms",
+                    notice->incarnation,
+                    CmTime_DiffMs(notice->paused_until, notice->pause_began));
+    }
 }
 
 void
@@ -69,11 +94,13 @@
 {
     struct gateway *gateway = context;
     gateway->count.leaving_targets.value += notice->leaving && target != NULL;
+    gateway->count.paused_targets.value += notice->pausing && target != NULL;
 }
 
 void
 TargetNotices_UpdateGauges(struct gateway *gateway)
 {
     gateway->count.leaving_targets.value = 0;
+    gateway->count.paused_targets.value = 0;
     CmNotices_ForEach(&gateway->targets, count_notice, gateway);
 }
--- a/programs/coriandermoor/gateway/target_notices.h
+++ b/programs/coriandermoor/gateway/target_notices.h
@@ -11,6 +11,11 @@
 void
 TargetNotices_CountResponse(struct request *request);
 
+/// @return ms until a target of the request's service may get work again; 0
+/// unless all that could run it have asked for a pause.
+int64_t
+TargetNotices_PauseLeftMs(const struct request *request);
+
 /// Notices what has ended.
 void
 TargetNotices_Tick(struct gateway *gateway);
--- a/programs/coriandermoor/gateway/trial_claim.c
+++ b/programs/coriandermoor/gateway/trial_claim.c
@@ -138,8 +138,12 @@
 TrialClaim_HandleAnswer(struct request *request, bool granted)
 {
     request->trial.call = NULL;
-    if (granted) {
-        request->trial.granted = true;
+    if (!granted) {
+        return;
+    }
+    request->trial.granted = true;
+    // Otherwise another target is being asked for a lease or a permit.
+    if (request->phase == REQUEST_CLAIMING) {
         resume(request);
     }
 }
