--- a/packages/explain/src/timeline.c
+++ b/packages/explain/src/timeline.c
@@ -294,6 +294,10 @@
      "a content is on trial after several crashes (lines, one per gateway)"},
     {"limit", "names a limit of",
      "a target named or changed a rate limit (lines, one per gateway)"},
+    {"notice", "says that it leaves",
+     "a target said that it leaves (lines, one per gateway)"},
+    {"notice", "asks for a pause",
+     "a target asked for a pause (lines, one per gateway)"},
     {"quarantine", "crashed and cut off",
      "a target crashed (lines, one per gateway that lost requests)"},
 };
