--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -246,6 +246,12 @@
         self.arrivals = []        # [id, incarnation, time] of all requests
         self.limits_told = []     # [id, incarnation, time, limit] of responses
         self.limits_ended = []    # times at which it stopped to name a limit
+        # Statuses of responses that say that the target leaves; all: None.
+        self.leaving_statuses = ()
+        self.leaving_told = []    # [id, incarnation, time] of such responses
+        self.busy_until = 0.0     # turns requests away until this time
+        self.pauses_told = []     # [id, incarnation, time, end] of responses
+        self.rejection_rate = 0.0  # share of requests rejected with 503
         self.active_runs = 0
         self.lost_response_rate = 0.0  # share of runs without a response
         self.lost_responses = []       # ids of these runs
@@ -327,9 +333,38 @@
         """Returns a 421 response if the request names another incarnation."""
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.id:
-            return Response(421, {"X-Instance-Id": self.id})
+            return self.finish(headers, Response(
+                421, {"X-Instance-Id": self.id}))
         return None
 
+    def ask_for_pause(self, pause_s):
+        """Turns all requests away for pause_s."""
+        self.busy_until = time.monotonic() + pause_s
+
+    def turn_away(self, headers):
+        """Returns a 503 response if the request isn't wanted now."""
+        now = time.monotonic()
+        pausing = now < self.busy_until
+        if not pausing and random.random() >= self.rejection_rate:
+            return None
+        result = dict(self.response_headers(headers), **{
+            "X-Not-Executed": "1"})
+        if pausing:
+            result["Retry-After"] = f"{self.busy_until - now:.3f}"
+            self.pauses_told.append((headers.get("x-request-id"),
+                                     self.incarnation(), now,
+                                     self.busy_until))
+        return self.finish(headers, Response(503, result))
+
+    def finish(self, headers, response):
+        """Adds what the target says of itself in responses of this status."""
+        if (self.leaving_statuses is None
+                or response.status in self.leaving_statuses):
+            response.headers["Server-Leaving"] = "1"
+            self.leaving_told.append((headers.get("x-request-id"),
+                                      self.incarnation(), time.monotonic()))
+        return response
+
     def record_run(self, headers, target, adapter=None, version=None):
         self.runs.append((headers.get("x-request-id"), target, adapter,
                           version, self.id, time.monotonic()))
@@ -365,6 +400,9 @@
             return mismatch
         if target == "/health":
             return Response(200, {"X-Instance-Id": self.id})
+        refusal = self.turn_away(headers)
+        if refusal is not None:
+            return refusal
         self.record_run(headers, target)
         if await self.crash_by(headers, body):
             return await self.end_of_crashed_run()
@@ -380,8 +418,9 @@
             return None
         failed = random.random() < self.failure_rate
         status = self.failure_status if failed else 200
-        return Response(status, self.response_headers(headers),
-                        f"{method} {target} {len(body)}".encode())
+        return self.finish(headers, Response(
+            status, self.response_headers(headers),
+            f"{method} {target} {len(body)}".encode()))
 
 
 class Engine(Target):
@@ -514,10 +553,13 @@
         """Response that says that the engine did not run the request."""
         response_headers = self.response_headers(headers)
         response_headers["X-Not-Executed"] = "1"
-        return Response(status, response_headers)
+        return self.finish(headers, Response(status, response_headers))
 
     async def run_request(self, target, headers, body):
         self.record_arrival(headers)
+        refusal = self.turn_away(headers)
+        if refusal is not None:
+            return refusal
         model, _, adapter = headers.get("x-model", "").partition("/")
         if model not in self.models or (
                 adapter and adapter not in self.adapters):
@@ -540,8 +582,9 @@
                              range(last + 1, last + self.cut_inside_event + 2))
             return Response(200, response_headers, events[:-3].encode(),
                             ends_by_close=True)
-        return Response(200, response_headers,
-                        chunks=self.generate_events(adapter, last, length))
+        return self.finish(headers, Response(
+            200, response_headers,
+            chunks=self.generate_events(adapter, last, length)))
 
     async def generate_events(self, adapter, last, length):
         incarnation = self.id
