--- a/packages/dispatch/tests/decisions_test.c
+++ b/packages/dispatch/tests/decisions_test.c
@@ -123,6 +123,22 @@
     }
 }
 
+/// While all targets pause, the delay is never shorter than the first pause.
+static void
+test_retry_after_at_pause(void)
+{
+    static const struct {
+        int64_t pause_ms;
+        int64_t max_ms;
+    } cases[] = {{1, 251}, {2000, 2250}, {3600000, 3600250}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(CmRetryAfter_AtPauseMs(cases[i].pause_ms, 0),
+                        cases[i].pause_ms);
+        CU_ASSERT_EQUAL(CmRetryAfter_AtPauseMs(cases[i].pause_ms, 1),
+                        cases[i].max_ms);
+    }
+}
+
 static void
 test_traffic_split(void)
 {
@@ -362,6 +378,44 @@
     }
 }
 
+/// The limit of an event's length holds whether or not the event is complete
+/// when it is read. Events before it are forwarded.
+static void
+test_event_stream_limit(void)
+{
+    static const struct {
+        size_t length; ///< of the second event
+        bool complete;
+        bool valid;
+    } cases[] = {
+        {CM_EVENT_MAX_BYTES, true, true},
+        {CM_EVENT_MAX_BYTES + 1, true, false},
+        {CM_EVENT_MAX_BYTES, false, true},
+        {CM_EVENT_MAX_BYTES + 1, false, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        GString *event = g_string_new("data: ");
+        while (event->len < cases[i].length) {
+            g_string_append_c(event, 'x');
+        }
+        if (cases[i].complete) {
+            memset(event->str + event->len - 2, '\n', 2);
+        }
+        g_string_prepend(event, EVENT(1));
+        struct cm_event_stream events;
+        CmEventStream_Init(&events, -1);
+        GString *out = g_string_new(NULL);
+        CU_ASSERT_EQUAL(
+            CmEventStream_Feed(&events, event->str, event->len, out),
+            cases[i].valid);
+        bool forwarded = cases[i].complete && cases[i].valid;
+        CU_ASSERT_EQUAL(out->len, forwarded ? event->len : strlen(EVENT(1)));
+        g_string_free(out, TRUE);
+        g_string_free(event, TRUE);
+        CmEventStream_Finish(&events);
+    }
+}
+
 /// A stream that another target resumes repeats no event, and its incomplete
 /// event is dropped.
 static void
@@ -384,6 +438,7 @@
 static const struct cm_test tests[] = {
     {"delay of Retry-After", test_retry_after},
     {"delay of Retry-After at a rate limit", test_retry_after_at_limit},
+    {"delay of Retry-After during pauses", test_retry_after_at_pause},
     {"idle timeout of clients", test_client_idle_timeout},
     {"routes", test_routes},
     {"traffic split", test_traffic_split},
@@ -392,6 +447,7 @@
     {"statuses that imply that nothing ran", test_classify_status},
     {"retry decisions, all states", test_retry_steps_exhaustive},
     {"event stream", test_event_stream},
+    {"event stream, longest event", test_event_stream_limit},
     {"event stream, resumed", test_event_stream_resume},
 };
 
--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -8,9 +8,11 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "dispatch/notices.h"
 #include "lease.h"
 #include "rate_limits.h"
 #include "request.h"
+#include "target_notices.h"
 
 /// Longest wait for a lease at one agent. Covers an adapter load from the
 /// weight store under contention; beyond it another engine is faster.
@@ -146,7 +148,7 @@
     size_t usable = 0;
     const struct cm_live_target *target;
     CmList_FOREACH (target, &request->gateway->targets.list, link) {
-        if (!target->draining &&
+        if (!CmTarget_IsLeaving(target) &&
             strcmp(target->service, request->service) == 0) {
             // An engine that takes longer has no local copy of its model.
             starting += !target->has_model &&
@@ -186,6 +188,11 @@
             count_limit_refusal(request);
             reason = "targets are at the rate limits that they named";
         }
+        request->pause_left_ms = TargetNotices_PauseLeftMs(request);
+        if (request->pause_left_ms > 0) {
+            request->gateway->count.pause_refusals.value++;
+            reason = "all targets asked for a pause";
+        }
         Request_GiveUp(request, reason);
         return;
     }
@@ -247,13 +254,8 @@
 void
 Request_LeaseGranted(struct request *request)
 {
-    struct cm_live_target *target = request->lease.target;
-    if (target->draining || target->removed) {
-        Request_LeaseDenied(request, "the target is draining or gone");
-        return;
-    }
     Request_CountLatency(request, LATENCY_LEASE);
-    Request_SendTo(request, target);
+    Request_SendTo(request, request->lease.target);
 }
 
 /// Records the shortest queue wait among the engines that denied a lease, as
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "crash_watch.h"
+#include "dispatch/notices.h"
 #include "lease.h"
 #include "placement.h"
 #include "rate_limits.h"
@@ -191,6 +192,15 @@
 Request_SendTo(struct request *request, struct cm_live_target *target)
 {
     struct timespec now = Gateway_Now(request->gateway);
+    // It may have waited for a lease, a permit or a trial.
+    if (!CmTarget_MayGetWork(target, now)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "place", request->parsed.id,
+                    "%s may get no work any more: another target is picked",
+                    target->id);
+        Lease_Release(request);
+        Request_Place(request);
+        return;
+    }
     // Other gateways may have learned more since the request arrived.
     const char *reason;
     switch (TrialClaim_Admit(request, target, &reason)) {
@@ -313,7 +323,9 @@
     if (end == CM_ATTEMPT_UNSENT) {
         TrialClaim_CountUnsent(request);
     }
-    if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST) {
+    // A target that asks for a pause has not failed.
+    if (!request->attempt.response.has_pause &&
+        (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST)) {
         CmTarget_CountLost(target, now);
     }
     else if (end == CM_ATTEMPT_FAILED) {
@@ -363,7 +375,8 @@
         return;
     }
     enum cm_attempt_end attempt_end = classify(request, end);
-    if (end == CM_H1_CALL_INTERRUPTED && attempt_end == CM_ATTEMPT_LOST) {
+    if (end == CM_H1_CALL_INTERRUPTED && attempt_end == CM_ATTEMPT_LOST &&
+        !request->attempt.response.has_pause) {
         CrashWatch_CountCutOff(request);
     }
     else if (attempt_end == CM_ATTEMPT_FAILED) {
