test(soak,e2e-signals): send reloads from the beginning of main() on

Change: the soak waits for the beginning of main(), as seen by the masks of the process, then sends SIGHUP and SIGTERM at any moment. The check itself stays.

--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -16,6 +16,10 @@
 SLOW_TIMEOUT_MS = 12000
 
 
+def contains(mask, number):
+    return mask >> (number - 1) & 1
+
+
 class Process:
     """A gateway or agent process that writes its output to a log file."""
 
@@ -34,6 +38,32 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    def read_mask(self, name):
+        """One of the signal masks of the first thread."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status")
+        for line in status.read_text().splitlines():
+            if line.startswith(name + ":"):
+                return int(line.split()[1], 16)
+        raise KeyError(name)
+
+    def has_reached_main(self):
+        """Whether main() has begun, as seen by the signals that it blocks,
+        catches or ignores. Before, the dynamic loader runs."""
+        return (contains(self.read_mask("SigBlk"), signal.SIGHUP)
+                or contains(self.read_mask("SigCgt"), signal.SIGHUP)
+                or contains(self.read_mask("SigIgn"), signal.SIGPIPE))
+
+    async def reach_main(self):
+        """Returns once main() has begun, or the process has ended."""
+        end = time.monotonic() + START_TIMEOUT_S
+        try:
+            while not self.has_reached_main():
+                if time.monotonic() > end:
+                    raise TimeoutError(f"{self.name} does not reach main()")
+                await asyncio.sleep(0.001)
+        except (FileNotFoundError, ProcessLookupError):
+            pass
+
     async def wait(self, timeout_s):
         return await asyncio.wait_for(self.process.wait(), timeout_s)
 
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -245,7 +245,9 @@
 
     async def stop_and_restart(self, process):
         self.record_fault(process.name)
-        # The settings are reloaded right before the stop.
+        # The settings are reloaded right before the stop, at any moment from
+        # the beginning of main() on.
+        await process.reach_main()
         process.signal(signal.SIGHUP)
         process.signal(signal.SIGTERM)
         try:
