fix(link): repeat socket calls that a signal interrupts

Cause: ZeroMQ's calls fail with EINTR when a signal arrives. A bind at a start then ended the agent (cannot bind tcp://...: Interrupted system call, once in two runs of e2e-signals, not in six further ones), a send lost its message, and a receive left the rest of the edge-triggered socket unread. Change: bind, connect, send and receive are repeated on EINTR. Result: link_socket_test, calls beside a signal every 50 us: both cases failed before (binds or connects failed, messages were lost) and pass now.

--- a/packages/link/src/socket.c
+++ b/packages/link/src/socket.c
@@ -4,6 +4,7 @@
 #include "link/socket.h"
 
 #include <string.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #include "base/error.h"
@@ -24,7 +25,8 @@
 receive_frame(struct cm_link_socket *link, zmq_msg_t *frame)
 {
     zmq_msg_init(frame);
-    if (zmq_msg_recv(frame, link->socket, ZMQ_DONTWAIT) < 0) {
+    if (TEMP_FAILURE_RETRY(zmq_msg_recv(frame, link->socket, ZMQ_DONTWAIT)) <
+        0) {
         zmq_msg_close(frame);
         return false;
     }
@@ -198,8 +200,8 @@
     int64_t frame_max = CM_FRAME_MAX_BYTES;
     zmq_setsockopt(link->socket, ZMQ_MAXMSGSIZE, &frame_max,
                    sizeof(frame_max));
-    return watch_or_close(link, base, zmq_bind(link->socket, endpoint) == 0,
-                          "bind", endpoint, error);
+    int result = TEMP_FAILURE_RETRY(zmq_bind(link->socket, endpoint));
+    return watch_or_close(link, base, result == 0, "bind", endpoint, error);
 }
 
 bool
@@ -210,8 +212,8 @@
     open_socket(link, zmq_context, ZMQ_DEALER, receive, context);
     set_option(link->socket, ZMQ_IMMEDIATE, 1);
     zmq_setsockopt(link->socket, ZMQ_ROUTING_ID, name, strlen(name));
-    return watch_or_close(link, base, zmq_connect(link->socket, endpoint) == 0,
-                          "connect", endpoint, error);
+    int result = TEMP_FAILURE_RETRY(zmq_connect(link->socket, endpoint));
+    return watch_or_close(link, base, result == 0, "connect", endpoint, error);
 }
 
 void
@@ -226,6 +228,13 @@
     link->socket = NULL;
 }
 
+static bool
+send_frame(struct cm_link_socket *link, const void *data, size_t size,
+           int flags)
+{
+    return TEMP_FAILURE_RETRY(zmq_send(link->socket, data, size, flags)) >= 0;
+}
+
 bool
 CmLink_Send(struct cm_link_socket *link, const struct cm_link_peer *peer,
             const struct cm_message *message)
@@ -238,12 +247,11 @@
     CmMessage_Encode(message, &frame);
     bool sent = true;
     if (link->router) {
-        sent = zmq_send(link->socket, peer->name, strlen(peer->name),
-                        ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0;
+        sent = send_frame(link, peer->name, strlen(peer->name),
+                          ZMQ_SNDMORE | ZMQ_DONTWAIT);
     }
     if (sent) {
-        sent =
-            zmq_send(link->socket, frame.data, frame.size, ZMQ_DONTWAIT) >= 0;
+        sent = send_frame(link, frame.data, frame.size, ZMQ_DONTWAIT);
     }
     if (sent && link->traffic != NULL) {
         link->traffic->sent_messages++;
