fix(gateway): keep a stalled attempt until its successor is certain

Callers saw streams cut, or a 502, some 0.9 to 1.3 s after their target fell silent, although it lived and went on soon after.

Cause: at the stall timeout the attempt was cancelled after a look for another target and for room in the budget of retries. Whether a lease, a slot, a trial and a permit were to be had was learned only then, and the budget could be spent by others meanwhile. If something was missing, the response ended.

A request now has a placement beside its attempt, with a timer of its own (successor.c). While the stalled attempt goes on, the placement collects target, permit, lease, trial and room in the budget. When all are there, the attempt is cancelled and the request sent in one step, and only then the retry counts. An event or a part of a plain response ends the search, which gives back what it was granted; a search without result is repeated after 300 ms; if the attempt ends by itself, the search becomes the placement of a retry. The lease of an attempt is kept apart from the one that a search acquires. Content that is on trial in this attempt, or refused, is not searched for.

By reading, two faults of the same kind go with it: a trial was lost if the budget refused the send after it was taken, and a stalled trial was cancelled only to be refused a second one.

--- a/packages/dispatch/include/dispatch/retry.h
+++ b/packages/dispatch/include/dispatch/retry.h
@@ -47,6 +47,11 @@
 enum cm_retry_step
 CmRetry_NextStep(const struct cm_retry_state *state, enum cm_attempt_end end);
 
+/// @return whether a stalled attempt may be replaced by another one. `state`
+/// already counts the stalled attempt.
+bool
+CmRetry_AllowsSuccessor(const struct cm_retry_state *state);
+
 /// @return the step instead of CM_RETRY_RESEND if no other attempt is
 /// possible.
 enum cm_retry_step
--- a/packages/dispatch/src/retry.c
+++ b/packages/dispatch/src/retry.c
@@ -45,6 +45,13 @@
     return CM_RETRY_RESEND;
 }
 
+bool
+CmRetry_AllowsSuccessor(const struct cm_retry_state *state)
+{
+    // The stalled attempt may have run, like a lost one.
+    return CmRetry_NextStep(state, CM_ATTEMPT_LOST) == CM_RETRY_RESEND;
+}
+
 enum cm_retry_step
 CmRetry_FinalStep(const struct cm_retry_state *state, enum cm_attempt_end end)
 {
--- a/packages/dispatch/tests/decisions_test.c
+++ b/packages/dispatch/tests/decisions_test.c
@@ -263,6 +263,33 @@
     }
 }
 
+/// A stalled attempt may be replaced where a lost one would be retried.
+static void
+test_successor_allowed(void)
+{
+    static const struct {
+        struct cm_retry_state state;
+        bool allowed;
+    } cases[] = {
+        {{CM_RETRY_MODE_RESUME, 2, 1, 900, true}, true},
+        {{CM_RETRY_MODE_RESUME, 2, 1, 900, false}, true},
+        {{CM_RETRY_MODE_IDEMPOTENT, 2, 1, 900, false}, true},
+        // No attempt is left.
+        {{CM_RETRY_MODE_RESUME, 2, 2, 900, true}, false},
+        {{CM_RETRY_MODE_IDEMPOTENT, 1, 1, 900, false}, false},
+        // Too little time is left.
+        {{CM_RETRY_MODE_RESUME, 2, 1, 10, true}, false},
+        // The response can't be continued elsewhere.
+        {{CM_RETRY_MODE_IDEMPOTENT, 2, 1, 900, true}, false},
+        // The request must not run twice.
+        {{CM_RETRY_MODE_NEVER, 2, 1, 900, false}, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        CU_ASSERT_EQUAL(CmRetry_AllowsSuccessor(&cases[i].state),
+                        cases[i].allowed);
+    }
+}
+
 /// A status that implies "not run" counts as a lost answer if the target does
 /// not state that it did not run the request.
 static void
@@ -390,6 +417,7 @@
     {"retry budget in every window", test_retry_budget_in_every_window},
     {"retry decisions", test_retry_steps},
     {"statuses that imply that nothing ran", test_classify_status},
+    {"successor of a stalled attempt", test_successor_allowed},
     {"retry decisions, all states", test_retry_steps_exhaustive},
     {"event stream", test_event_stream},
     {"event stream, resumed", test_event_stream_resume},
--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -265,7 +265,7 @@
 {
     struct cut_off run = {.sent_at = request->attempt.sent_at,
                           .late_ms = late_ms,
-                          .trial = request->trial.running};
+                          .trial = request->attempt.is_trial};
     g_strlcpy(run.content, Request_Content(request), sizeof(run.content));
     if (suspicion->runs->len < RUNS_MAX) {
         g_array_append_val(suspicion->runs, run);
--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -245,6 +245,24 @@
     release_target(lease);
 }
 
+void
+Lease_HandOver(struct request *request)
+{
+    request->attempt.leased = request->lease.granted;
+    release_target(&request->lease);
+}
+
+void
+Lease_ReleaseAttempt(struct request *request)
+{
+    struct attempt *attempt = &request->attempt;
+    if (attempt->leased) {
+        send_release(request->gateway, attempt->target->agent_address,
+                     CM_RELEASE_PATH, request->parsed.id);
+        attempt->leased = false;
+    }
+}
+
 /// A call that asks an agent to load the engine's base model.
 struct model_load_call {
     LIST_ENTRY(model_load_call) link;
--- a/programs/coriandermoor/gateway/lease.h
+++ b/programs/coriandermoor/gateway/lease.h
@@ -26,10 +26,19 @@
 void
 Lease_MarkAgentDown(struct request *request);
 
-/// Cancels a lease request in progress, or releases a granted lease.
+/// Cancels a lease request in progress, or releases a granted lease that no
+/// attempt holds yet.
 void
 Lease_Release(struct request *request);
 
+/// Hands a granted lease to the attempt that was sent to its target.
+void
+Lease_HandOver(struct request *request);
+
+/// Releases the lease that the attempt holds, if any.
+void
+Lease_ReleaseAttempt(struct request *request);
+
 /// Asks the agent of `target` to load the base model, unless such a call is in
 /// progress, and marks the target usable once the agent confirms.
 void
@@ -44,7 +53,7 @@
 void
 Request_LeaseGranted(struct request *request);
 /// Implemented by placement.c: picks another engine, waits for engines that
-/// are starting, or ends the request.
+/// are starting, or gives up.
 void
 Request_LeaseDenied(struct request *request, const char *why);
 
--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -121,12 +121,12 @@
                     &request->wait_limit, pick.target, &left),
                 .on_time_ms = left.on_time_ms,
             };
-            request->phase = REQUEST_LEASING;
+            request->placement = PLACEMENT_LEASING;
             request->busy_is_final =
                 CmWaitLimit_IsFinal(&request->wait_limit, pick.target);
             if (Lease_Acquire(request, pick.target, &limits)) {
-                Request_SetTimer(request,
-                                 limits.wait_ms + LEASE_REPLY_MARGIN_MS);
+                Request_SetPlacementTimer(request, limits.wait_ms +
+                                                       LEASE_REPLY_MARGIN_MS);
                 return true;
             }
         }
@@ -173,10 +173,15 @@
 }
 
 /// Waits if most engines are starting, as they become usable before the
-/// caller would retry. Otherwise ends the request.
+/// caller would retry. Otherwise ends the request, or the search for a
+/// successor.
 static void
 wait_or_give_up(struct request *request, const char *reason)
 {
+    if (request->search.active) {
+        Request_GiveUp(request, reason);
+        return;
+    }
     struct timespec now = Gateway_Now(request->gateway);
     if (request->sends > 0 || !most_engines_starting(request) ||
         Request_SinceArrivalMs(request, now) > ENGINE_WAIT_MAX_MS ||
@@ -189,16 +194,16 @@
         Request_GiveUp(request, reason);
         return;
     }
-    if (request->phase != REQUEST_WAITING) {
+    if (request->placement != PLACEMENT_STARTING) {
         CmLog_Event(G_LOG_LEVEL_INFO, "place", request->parsed.id,
                     "waits for starting engines of service %s",
                     request->service);
     }
-    request->phase = REQUEST_WAITING;
+    request->placement = PLACEMENT_STARTING;
     request->waited = true;
     // Agents that were down may be reachable again by then.
-    Request_ClearExcluded(request);
-    Request_SetTimer(request, ENGINE_POLL_MS);
+    Request_TruncateExcluded(request, 0);
+    Request_SetPlacementTimer(request, ENGINE_POLL_MS);
 }
 
 void
--- a/programs/coriandermoor/gateway/placement.h
+++ b/programs/coriandermoor/gateway/placement.h
@@ -8,7 +8,8 @@
 
 /// Picks a target and sends the request there. For an adapter, requests a
 /// lease first. If no target can take the request, waits for engines that are
-/// starting or ends the request.
+/// starting or ends the request. While another attempt goes on, gives up the
+/// search for its successor instead.
 void
 Request_Place(struct request *request);
 
--- a/programs/coriandermoor/gateway/rate_limits.c
+++ b/programs/coriandermoor/gateway/rate_limits.c
@@ -373,8 +373,8 @@
 {
     LIST_INSERT_HEAD(&claim->waiters, request, permit.link);
     request->permit.waiting = true;
-    request->phase = REQUEST_CLAIMING_PERMIT;
-    Request_SetTimer(request, Request_LeftMs(request));
+    request->placement = PLACEMENT_CLAIMING_PERMIT;
+    Request_SetPlacementTimer(request, Request_LeftMs(request));
     return RATE_WAITS;
 }
 
@@ -513,9 +513,12 @@
 void
 RateLimits_FinishRequest(struct request *request)
 {
-    if (request->permit.waiting) {
+    struct permit *permit = &request->permit;
+    if (permit->waiting) {
         LIST_REMOVE(request, permit.link);
+        permit->waiting = false;
     }
+    permit->waits = 0;
     give_back(request);
 }
 
--- a/programs/coriandermoor/gateway/rate_limits.h
+++ b/programs/coriandermoor/gateway/rate_limits.h
@@ -41,7 +41,7 @@
 int64_t
 RateLimits_WaitMs(const struct request *request);
 
-/// Ends the wait of a request that is freed, and gives back its permit.
+/// Ends the request's wait, and gives back its unused permit.
 void
 RateLimits_FinishRequest(struct request *request);
 
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -13,6 +13,7 @@
 #include "placement.h"
 #include "rate_limits.h"
 #include "responses.h"
+#include "successor.h"
 #include "target_call.h"
 #include "trial_claim.h"
 
@@ -53,8 +54,9 @@
     CmEventStream_Finish(&request->events);
     CmCallCodec_FinishRequest(&request->parsed);
     CmCatalog_Unref(request->catalog);
-    Request_ClearExcluded(request);
-    event_free(request->timer);
+    Request_TruncateExcluded(request, 0);
+    event_free(request->attempt_timer);
+    event_free(request->placement_timer);
     request->gateway->n_requests--;
     g_free(request);
 }
@@ -75,10 +77,17 @@
 }
 
 void
-Request_SetTimer(struct request *request, int64_t ms)
+Request_SetPlacementTimer(struct request *request, int64_t ms)
 {
     struct timeval timeout = CmTime_Timeval(MAX(ms, 1));
-    evtimer_add(request->timer, &timeout);
+    evtimer_add(request->placement_timer, &timeout);
+}
+
+void
+Request_SetAttemptTimer(struct request *request, int64_t ms)
+{
+    struct timeval timeout = CmTime_Timeval(MAX(ms, 1));
+    evtimer_add(request->attempt_timer, &timeout);
 }
 
 int64_t
@@ -132,30 +141,41 @@
 void
 Request_ExcludeTarget(struct request *request, struct cm_live_target *target)
 {
+    for (size_t i = 0; i < request->n_excluded; i++) {
+        if (request->excluded[i] == target) {
+            return;
+        }
+    }
     if (request->n_excluded < CM_EXCLUDED_MAX) {
         request->excluded[request->n_excluded++] = CmTarget_Ref(target);
     }
 }
 
 void
-Request_ClearExcluded(struct request *request)
+Request_TruncateExcluded(struct request *request, size_t n_kept)
 {
-    for (size_t i = 0; i < request->n_excluded; i++) {
-        CmTarget_Unref(request->excluded[i]);
+    while (request->n_excluded > n_kept) {
+        CmTarget_Unref(request->excluded[--request->n_excluded]);
     }
-    request->n_excluded = 0;
 }
 
-/// @return ms without data from the target after which the request fails
-/// over, or -1 if only the deadline applies.
+/// @return whether the present attempt has sent an event.
+static bool
+is_streaming(const struct request *request)
+{
+    return request->attempt.first_event_at.tv_sec != 0;
+}
+
+/// @return ms without data from the target after which a successor is looked
+/// for, or -1 if only the deadline applies.
 static int64_t
 stall_timeout_ms(const struct request *request)
 {
     const struct cm_route *route = request->route;
     switch (route->retry_mode) {
     case CM_RETRY_MODE_RESUME:
-        return request->phase == REQUEST_STREAMING ? EVENT_TIMEOUT_MS
-                                                   : FIRST_EVENT_TIMEOUT_MS;
+        return is_streaming(request) ? EVENT_TIMEOUT_MS
+                                     : FIRST_EVENT_TIMEOUT_MS;
     case CM_RETRY_MODE_IDEMPOTENT:
         return (int64_t)((double)route->target_latency_ms *
                          PLAIN_TIMEOUT_FACTOR);
@@ -164,23 +184,33 @@
     }
 }
 
+int64_t
+Request_AttemptLeftMs(const struct request *request)
+{
+    return Request_LeftMs(request) +
+           (is_streaming(request) ? STREAM_GRACE_MS : 0);
+}
+
 /// Starts the timer for the deadline, or for the stall timeout if that is
 /// earlier and another attempt is allowed.
 static void
 start_progress_timer(struct request *request)
 {
-    int64_t grace = request->phase == REQUEST_STREAMING ? STREAM_GRACE_MS : 0;
-    int64_t wait_ms = Request_LeftMs(request) + grace;
+    int64_t wait_ms = Request_AttemptLeftMs(request);
     int64_t stall_ms = stall_timeout_ms(request);
     if (stall_ms >= 0 && request->retry.runs < request->retry.max_attempts) {
         wait_ms = MIN(wait_ms, stall_ms);
     }
-    Request_SetTimer(request, wait_ms);
+    Request_SetAttemptTimer(request, wait_ms);
 }
 
 void
 Request_GiveUp(struct request *request, const char *reason)
 {
+    if (request->search.active) {
+        Successor_Postpone(request, reason);
+        return;
+    }
     request->retry.left_ms = Request_LeftMs(request);
     Response_EndByStep(request,
                        CmRetry_FinalStep(&request->retry, request->last_end),
@@ -191,6 +221,14 @@
 Request_SendTo(struct request *request, struct cm_live_target *target)
 {
     struct timespec now = Gateway_Now(request->gateway);
+    struct cm_retry_window *window =
+        request->sends > 0
+            ? Gateway_RetryWindow(request->gateway, request->service)
+            : NULL;
+    if (window != NULL && !CmRetryWindow_Allows(window, now)) {
+        Request_GiveUp(request, "the budget of repeats is spent");
+        return;
+    }
     // Other gateways may have learned more since the request arrived.
     const char *reason;
     switch (TrialClaim_Admit(request, target, &reason)) {
@@ -202,26 +240,32 @@
     case TRIAL_ADMITTED:
         break;
     }
-    if (request->sends > 0) {
-        struct cm_retry_window *window =
-            Gateway_RetryWindow(request->gateway, request->service);
-        if (!CmRetryWindow_Consume(window, now)) {
-            Request_GiveUp(request, "the budget of repeats is spent");
-            return;
-        }
+    if (request->search.active) {
+        Successor_TakeOver(request);
     }
-    request->phase = REQUEST_SENT;
+    request->placement = PLACEMENT_NONE;
+    evtimer_del(request->placement_timer);
     if (!TargetCall_Send(request, target)) {
         // The response of an earlier attempt is gone and can't be forwarded.
         request->last_end = CM_ATTEMPT_UNSENT;
         Request_GiveUp(request, "no connection could be opened");
         return;
     }
+    if (window != NULL) {
+        CmRetryWindow_Consume(window, now);
+    }
     // From here on the target may execute the request.
     request->retry.runs++;
     start_progress_timer(request);
 }
 
+void
+Request_CountProgress(struct request *request)
+{
+    Successor_Abandon(request);
+    start_progress_timer(request);
+}
+
 void
 Request_ForwardEvents(struct request *request, const void *data, size_t size)
 {
@@ -234,7 +278,6 @@
         attempt->invalid = true;
     }
     if (events->len > 0) {
-        request->phase = REQUEST_STREAMING;
         request->last_event_at = Gateway_Now(request->gateway);
         if (attempt->first_event_at.tv_sec == 0) {
             attempt->first_event_at = request->last_event_at;
@@ -244,11 +287,11 @@
             Request_CountLatency(request, LATENCY_FIRST_EVENT);
         }
         Response_WriteEvents(request, events);
-        start_progress_timer(request);
+        Request_CountProgress(request);
         if (CmH1Conn_PendingOutput(&request->caller->conn) >
             UNREAD_MAX_BYTES) {
             request->caller_stalled = true;
-            Request_SetTimer(request, 0);
+            Request_SetAttemptTimer(request, 0);
         }
     }
     g_string_free(events, TRUE);
@@ -295,12 +338,10 @@
     return texts[end];
 }
 
-/// Retries at another target after a failed attempt, or ends the request if
-/// the retry rules or the retry budget forbid that.
-static void
-retry_or_fail(struct request *request, enum cm_attempt_end end)
+void
+Request_CountAttemptEnd(struct request *request, enum cm_attempt_end end)
 {
-    struct cm_live_target *target = CmTarget_Ref(request->attempt.target);
+    struct cm_live_target *target = request->attempt.target;
     struct timespec now = Gateway_Now(request->gateway);
     CmLog_Event(G_LOG_LEVEL_INFO, "attempt", request->parsed.id,
                 "%s at %s: %s, status %d, content %s", target->id,
@@ -324,9 +365,18 @@
         CmTarget_SetResident(target, request->parsed.adapter, false, now);
     }
     Request_ExcludeTarget(request, target);
-    CmTarget_Unref(target);
     request->last_end = end;
     request->retry.left_ms = Request_LeftMs(request);
+}
+
+/// Retries at another target after a failed attempt, or ends the request if
+/// the retry rules or the retry budget forbid that.
+static void
+retry_or_fail(struct request *request, enum cm_attempt_end end)
+{
+    bool searching = request->search.active;
+    Successor_KeepForRetry(request);
+    Request_CountAttemptEnd(request, end);
     enum cm_retry_step step = CmRetry_NextStep(&request->retry, end);
     if (step != CM_RETRY_RESEND) {
         Response_EndByStep(request, step, attempt_end_text(end));
@@ -334,22 +384,23 @@
     }
     struct cm_retry_window *window =
         Gateway_RetryWindow(request->gateway, request->service);
-    if (!CmRetryWindow_Allows(window, now)) {
+    if (!CmRetryWindow_Allows(window, Gateway_Now(request->gateway))) {
         Response_EndByStep(request, CmRetry_FinalStep(&request->retry, end),
                            "the budget of repeats is spent");
         return;
     }
-    Lease_Release(request);
     TargetCall_Cancel(request);
     CmEventStream_Resume(&request->events);
     request->gateway->count.retries.value++;
-    Request_Place(request);
+    if (!searching) {
+        Request_Place(request);
+    }
 }
 
 void
 Request_FinishAttempt(struct request *request, enum cm_h1_call_result end)
 {
-    evtimer_del(request->timer);
+    evtimer_del(request->attempt_timer);
     if (is_success(request, end)) {
         CmTarget_CountAnswer(request->attempt.target, false,
                              Gateway_Now(request->gateway));
@@ -375,8 +426,7 @@
 static void
 end_at_deadline(struct request *request)
 {
-    if (request->phase == REQUEST_SENT ||
-        request->phase == REQUEST_STREAMING) {
+    if (CmH1Call_Active(&request->attempt.call)) {
         CrashWatch_CountSilent(request);
     }
     if (request->retry.answer_started) {
@@ -392,80 +442,61 @@
                        "no target was free in time");
 }
 
-/// @return whether a retry at another target is possible now.
-static bool
-can_fail_over(struct request *request)
+static void
+on_attempt_timer(evutil_socket_t fd, short what, void *context)
 {
-    struct gateway *gateway = request->gateway;
-    struct timespec now = Gateway_Now(gateway);
-    struct cm_live_target *excluded[CM_EXCLUDED_MAX + 1];
-    memcpy(excluded, request->excluded, sizeof(request->excluded));
-    excluded[request->n_excluded] = request->attempt.target;
-    struct cm_pick_request criteria = {
-        .service = request->service,
-        .adapter = request->parsed.adapter,
-        .needs_model = request->parsed.model != NULL,
-        .excluded = excluded,
-        .n_excluded = request->n_excluded + 1,
-    };
-    struct cm_pick pick;
-    if (request->parsed.model != NULL) {
-        CmPick_Engine(&gateway->targets, &criteria, now, &pick);
+    struct request *request = context;
+    if (request->caller_stalled) {
+        Response_Abort(request, "the caller does not read its stream");
+    }
+    else if (Request_LeftMs(request) <= 0) {
+        end_at_deadline(request);
+    }
+    else if (stall_timeout_ms(request) >= 0) {
+        Successor_Search(request);
     }
     else {
-        CmPick_Plain(&gateway->targets, &criteria, now, &pick);
+        start_progress_timer(request);
     }
-    return pick.target != NULL && request->n_excluded < CM_EXCLUDED_MAX &&
-           request->retry.runs < request->retry.max_attempts &&
-           CmRetryWindow_Allows(Gateway_RetryWindow(gateway, request->service),
-                                now);
 }
 
-/// Fails over from a stalled target. If no other target can take the request,
-/// keeps waiting for this one.
+/// Handles the deadline of a request that is being placed. While an attempt
+/// goes on, its own timer ends the request.
 static void
-fail_over_if_possible(struct request *request)
+end_placement(struct request *request)
 {
-    if (!can_fail_over(request)) {
-        Request_SetTimer(request,
-                         MIN(Request_LeftMs(request) + STREAM_GRACE_MS,
-                             stall_timeout_ms(request)));
-        return;
+    if (request->search.active) {
+        Successor_Abandon(request);
+    }
+    else {
+        end_at_deadline(request);
     }
-    // Closing the connection makes the target cancel the request.
-    CmH1Call_Cancel(&request->attempt.call);
-    CrashWatch_CountSilent(request);
-    retry_or_fail(request, CM_ATTEMPT_LOST);
 }
 
 static void
-on_timer(evutil_socket_t fd, short what, void *context)
+on_placement_timer(evutil_socket_t fd, short what, void *context)
 {
     struct request *request = context;
-    if (request->caller_stalled) {
-        Response_Abort(request, "the caller does not read its stream");
-    }
-    else if (Request_LeftMs(request) <= 0) {
-        end_at_deadline(request);
+    if (Request_LeftMs(request) <= 0) {
+        end_placement(request);
+        return;
     }
-    else if (request->phase == REQUEST_WAITING) {
+    switch (request->placement) {
+    case PLACEMENT_STARTING:
         Request_Place(request);
-    }
-    else if (request->phase == REQUEST_CLAIMING) {
-        TrialClaim_HandleTimer(request);
-    }
-    else if (request->phase == REQUEST_CLAIMING_PERMIT) {
-        Request_SetTimer(request, Request_LeftMs(request));
-    }
-    else if (request->phase == REQUEST_LEASING) {
+        break;
+    case PLACEMENT_LEASING:
         Lease_MarkAgentDown(request);
         Request_LeaseDenied(request, "the agent's reply timed out");
-    }
-    else if (stall_timeout_ms(request) >= 0) {
-        fail_over_if_possible(request);
-    }
-    else {
-        start_progress_timer(request);
+        break;
+    case PLACEMENT_CLAIMING:
+        TrialClaim_HandleTimer(request);
+        break;
+    case PLACEMENT_CLAIMING_PERMIT:
+        Request_SetPlacementTimer(request, Request_LeftMs(request));
+        break;
+    case PLACEMENT_NONE:
+        break;
     }
 }
 
@@ -525,7 +556,10 @@
     request->caller = caller;
     request->gateway = gateway;
     request->arrived_at = Gateway_Now(gateway);
-    request->timer = evtimer_new(gateway->base, on_timer, request);
+    request->attempt_timer =
+        evtimer_new(gateway->base, on_attempt_timer, request);
+    request->placement_timer =
+        evtimer_new(gateway->base, on_placement_timer, request);
     gateway->n_requests++;
     gateway->count.requests.value++;
     CmCallCodec_DecodeRequest(head, &request->parsed);
--- a/programs/coriandermoor/gateway/request.h
+++ b/programs/coriandermoor/gateway/request.h
@@ -22,6 +22,11 @@
 int64_t
 Request_LeftMs(const struct request *request);
 
+/// @return ms until the attempt ends at the deadline; streams get some time
+/// more.
+int64_t
+Request_AttemptLeftMs(const struct request *request);
+
 /// @return ms from the request's arrival to `then`, -1 if `then` is unset.
 int64_t
 Request_SinceArrivalMs(const struct request *request, struct timespec then);
@@ -40,28 +45,39 @@
 size_t
 Request_ContentSize(const struct request *request);
 
-/// Excludes a target from further attempts of this request.
+/// Excludes a target from further attempts of this request, unless it is
+/// excluded already.
 void
 Request_ExcludeTarget(struct request *request, struct cm_live_target *target);
 
-/// Makes all excluded targets eligible again.
+/// Makes all excluded targets but the first `n_kept` eligible again.
+void
+Request_TruncateExcluded(struct request *request, size_t n_kept);
+
+/// (Re)starts the timer of the present placement phase, with at least 1 ms.
 void
-Request_ClearExcluded(struct request *request);
+Request_SetPlacementTimer(struct request *request, int64_t ms);
 
-/// (Re)starts the request's timer, with at least 1 ms.
+/// (Re)starts the attempt's timer, with at least 1 ms.
 void
-Request_SetTimer(struct request *request, int64_t ms);
+Request_SetAttemptTimer(struct request *request, int64_t ms);
 
-/// Sends the request to `target`. Ends the request instead if this is a retry
-/// that exceeds the retry budget, or if no connection can be opened.
+/// Sends the request to `target`, in place of a stalled attempt if there is
+/// one. Gives up instead if this is a retry that exceeds the retry budget, or
+/// if no connection can be opened.
 void
 Request_SendTo(struct request *request, struct cm_live_target *target);
 
-/// Ends the request because no further attempt is possible.
+/// Counts how the attempt ended, and excludes its target from further ones.
+void
+Request_CountAttemptEnd(struct request *request, enum cm_attempt_end end);
+
+/// Ends the request because no further attempt is possible. If its present
+/// attempt goes on, only the search for a successor ends.
 void
 Request_GiveUp(struct request *request, const char *reason);
 
-/// Releases the request's lease, cancels its attempt and frees it.
+/// Releases the request's leases, cancels its attempt and frees it.
 void
 Request_Free(struct request *request);
 
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -14,17 +14,17 @@
 #include "h1/pool.h"
 #include "residency/lease_message.h"
 
-/// What a request in progress waits for.
-enum request_phase {
-    REQUEST_WAITING,  ///< starting engines to become usable
-    REQUEST_LEASING,  ///< an agent's reply to a lease request
-    REQUEST_CLAIMING, ///< a trial of its content, or the end of another one
-    REQUEST_CLAIMING_PERMIT, ///< a permit of a target that names a rate limit
-    REQUEST_SENT,            ///< a target's response or first event
-    REQUEST_STREAMING        ///< the rest of a stream
+/// What the placement of a request waits for.
+enum placement_phase {
+    PLACEMENT_NONE,     ///< the request is not being placed
+    PLACEMENT_STARTING, ///< starting engines to become usable
+    PLACEMENT_LEASING,  ///< an agent's reply to a lease request
+    PLACEMENT_CLAIMING, ///< a trial of its content, or the end of another one
+    PLACEMENT_CLAIMING_PERMIT, ///< a permit of a target that names a limit
 };
 
-/// An adapter lease, requested from or granted by one target's agent.
+/// An adapter lease for the next attempt, requested from or granted by one
+/// target's agent.
 struct lease {
     struct cm_h1_call call;
     GString *body;
@@ -43,6 +43,8 @@
     GString *body; ///< of an unstreamed response
     struct timespec sent_at;
     struct timespec first_event_at; ///< of this attempt; 0 for none
+    bool leased;   ///< it holds an adapter lease at its target
+    bool is_trial; ///< it is the trial of the request's content
     bool has_head;
     bool invalid; ///< malformed stream, or body too large
 };
@@ -65,6 +67,13 @@
     struct cm_live_target *target; ///< it holds a permit there; NULL for none
 };
 
+/// Search for a target that takes over from a stalled attempt, which goes on
+/// meanwhile.
+struct successor_search {
+    bool active;
+    size_t n_excluded; ///< targets that were excluded before it
+};
+
 struct request {
     struct caller_conn *caller;
     struct gateway *gateway;
@@ -74,8 +83,10 @@
     struct cm_caller_request parsed;
     struct timespec arrived_at;
     struct timespec deadline; ///< the earlier of the caller's and the route's
-    struct event *timer;
-    enum request_phase phase;
+    struct event *attempt_timer;   ///< deadline or stall of the attempt
+    struct event *placement_timer; ///< of the present placement phase
+    enum placement_phase placement;
+    struct successor_search search;
     struct cm_retry_state retry;
     enum cm_attempt_end last_end; ///< how the last attempt ended
     struct lease lease;
--- /dev/null
+++ b/programs/coriandermoor/gateway/successor.c
@@ -0,0 +1,103 @@
+/// @file successor.c
+/// Search for a target that takes over from a stalled attempt.
+
+#include "successor.h"
+
+#include "base/log.h"
+#include "crash_watch.h"
+#include "lease.h"
+#include "placement.h"
+#include "rate_limits.h"
+#include "request.h"
+#include "target_call.h"
+#include "trial_claim.h"
+
+/// Time from a search without result to the next one.
+#define SEARCH_PAUSE_MS 300
+
+/// @return whether the request may be sent again, apart from what the search
+/// is to find. A trial runs alone and once, so that it has no successor.
+static bool
+may_search(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
+    request->retry.left_ms = Request_LeftMs(request);
+    return !request->search.active && !request->attempt.is_trial &&
+           !request->quarantined && request->n_excluded < CM_EXCLUDED_MAX &&
+           CmRetry_AllowsSuccessor(&request->retry) &&
+           CmRetryWindow_Allows(Gateway_RetryWindow(gateway, request->service),
+                                Gateway_Now(gateway));
+}
+
+static void
+pause_search(struct request *request)
+{
+    Request_SetAttemptTimer(
+        request, MIN(Request_AttemptLeftMs(request), SEARCH_PAUSE_MS));
+}
+
+void
+Successor_Search(struct request *request)
+{
+    if (!may_search(request)) {
+        pause_search(request);
+        return;
+    }
+    const struct cm_live_target *target = request->attempt.target;
+    CmLog_Event(G_LOG_LEVEL_INFO, "attempt", request->parsed.id,
+                "%s at %s is silent: looks for another target", target->id,
+                target->address);
+    request->search.active = true;
+    request->search.n_excluded = request->n_excluded;
+    request->wait_limit = (struct cm_wait_limit){0};
+    Request_ExcludeTarget(request, request->attempt.target);
+    Request_SetAttemptTimer(request, Request_AttemptLeftMs(request));
+    Request_Place(request);
+}
+
+void
+Successor_Abandon(struct request *request)
+{
+    if (!request->search.active) {
+        return;
+    }
+    request->search.active = false;
+    request->placement = PLACEMENT_NONE;
+    evtimer_del(request->placement_timer);
+    Lease_Release(request);
+    TrialClaim_Finish(request);
+    RateLimits_FinishRequest(request);
+    Request_TruncateExcluded(request, request->search.n_excluded);
+}
+
+void
+Successor_Postpone(struct request *request, const char *reason)
+{
+    CmLog_Event(G_LOG_LEVEL_INFO, "attempt", request->parsed.id,
+                "goes on at %s: %s", request->attempt.target->id, reason);
+    Successor_Abandon(request);
+    pause_search(request);
+}
+
+void
+Successor_KeepForRetry(struct request *request)
+{
+    if (request->search.active) {
+        request->search.active = false;
+        // Engines that denied a lease to the search may grant it by now.
+        Request_TruncateExcluded(request, request->search.n_excluded);
+    }
+}
+
+void
+Successor_TakeOver(struct request *request)
+{
+    request->search.active = false;
+    CrashWatch_CountSilent(request);
+    Request_CountAttemptEnd(request, CM_ATTEMPT_LOST);
+    // Closing the connection makes the target cancel the request.
+    TargetCall_Cancel(request);
+    evtimer_del(request->attempt_timer);
+    CmEventStream_Resume(&request->events);
+    request->gateway->count.retries.value++;
+}
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -4,6 +4,7 @@
 #include "target_call.h"
 
 #include "crash_watch.h"
+#include "lease.h"
 #include "rate_limits.h"
 
 /// Largest response body that is buffered before it is forwarded.
@@ -43,6 +44,9 @@
     }
     g_string_truncate(attempt->head, 0);
     CmCallCodec_ComposeResponseHead(head, attempt->head);
+    if (!request->route->stream && is_success(attempt->response.status)) {
+        Request_CountProgress(request);
+    }
     return true;
 }
 
@@ -60,6 +64,9 @@
         return;
     }
     g_string_append_len(attempt->body, data, (gssize)size);
+    if (is_success(attempt->response.status)) {
+        Request_CountProgress(request);
+    }
 }
 
 static void
@@ -110,6 +117,7 @@
         attempt->body = g_string_new(NULL);
     }
     g_string_truncate(attempt->body, 0);
+    attempt->is_trial = request->trial.running;
     attempt->has_head = false;
     attempt->response = (struct cm_target_response){0};
     attempt->invalid = false;
@@ -129,6 +137,7 @@
         attempt->target = CmTarget_Ref(target);
         target->in_flight++;
         request->sends++;
+        Lease_HandOver(request);
         RateLimits_CountSend(request, target);
         if (request->parsed.model != NULL) {
             CmTarget_AddPrompt(target, request->parsed.prompt_tokens, now);
@@ -143,6 +152,7 @@
 TargetCall_Cancel(struct request *request)
 {
     CmH1Call_Cancel(&request->attempt.call);
+    Lease_ReleaseAttempt(request);
     release_target(request);
 }
 
--- a/programs/coriandermoor/gateway/target_call.h
+++ b/programs/coriandermoor/gateway/target_call.h
@@ -11,8 +11,8 @@
 bool
 TargetCall_Send(struct request *request, struct cm_live_target *target);
 
-/// Cancels the attempt. Closing its connection makes the target cancel the
-/// request.
+/// Cancels the attempt and releases its lease. Closing its connection makes
+/// the target cancel the request.
 void
 TargetCall_Cancel(struct request *request);
 
@@ -25,6 +25,11 @@
 void
 Request_ForwardEvents(struct request *request, const void *data, size_t size);
 
+/// Implemented by request.c: the attempt goes on, so that it needs no
+/// successor.
+void
+Request_CountProgress(struct request *request);
+
 /// Implemented by request.c: completes the request or retries it, by the
 /// result of the attempt.
 void
--- a/programs/coriandermoor/gateway/trial_claim.c
+++ b/programs/coriandermoor/gateway/trial_claim.c
@@ -114,8 +114,8 @@
     if (!CmTime_Before(now, trial->give_up_at)) {
         return refuse(request, "another copy of it is tried", reason);
     }
-    request->phase = REQUEST_CLAIMING;
-    Request_SetTimer(request, CM_TRIAL_CLAIM_INTERVAL_MS);
+    request->placement = PLACEMENT_CLAIMING;
+    Request_SetPlacementTimer(request, CM_TRIAL_CLAIM_INTERVAL_MS);
     return TRIAL_WAITS;
 }
 
@@ -163,11 +163,16 @@
 void
 TrialClaim_Finish(struct request *request)
 {
-    if (request->trial.call != NULL) {
-        PeerGossip_ForgetClaim(request->trial.call);
+    struct trial *trial = &request->trial;
+    if (trial->call != NULL) {
+        PeerGossip_ForgetClaim(trial->call);
+        trial->call = NULL;
     }
-    if (request->trial.granted) {
+    if (trial->granted) {
         PeerGossip_GiveBackTrial(request->gateway, request->content);
+        trial->granted = false;
     }
-    remember_target(&request->trial, NULL);
+    remember_target(trial, NULL);
+    trial->claim_id = 0;
+    trial->give_up_at = (struct timespec){0};
 }
--- a/programs/coriandermoor/gateway/trial_claim.h
+++ b/programs/coriandermoor/gateway/trial_claim.h
@@ -33,7 +33,7 @@
 void
 TrialClaim_CountUnsent(struct request *request);
 
-/// Ends the wait of a request that is freed, and gives back its unused trial.
+/// Ends the request's wait, and gives back its unused trial.
 void
 TrialClaim_Finish(struct request *request);
 
