fix(gateway): connect to a successor before the stalled attempt ends

Callers saw a stream cut 0.9 s after its target fell silent if agents granted leases for engines that refused connections: the stalled attempt was cancelled, and only then the connection to its successor was opened.

A search now opens the connection while the attempt goes on. The pool gets a call that only connects and leaves the connection for the next call; an idle connection is used as before. If none opens, the search asks the next target.

--- a/packages/h1/include/h1/pool.h
+++ b/packages/h1/include/h1/pool.h
@@ -93,6 +93,21 @@
                const struct cm_h1_call_request *request,
                const struct cm_h1_call_handler *handler, void *context);
 
+/// Opens a connection that a later call to `address` can use. `done` is called
+/// later, with CM_H1_CALL_COMPLETE once the pool has the connection and with
+/// CM_H1_CALL_NOT_CONNECTED if there is none; no other callback is.
+/// @return false if no connection could be started; no callback follows.
+bool
+CmH1Call_Connect(struct cm_h1_call *call, struct cm_h1_pool *pool,
+                 const char *address, const struct cm_h1_call_handler *handler,
+                 void *context);
+
+/// @return whether a call to `address` that is started now would use an open
+/// connection.
+bool
+CmH1Pool_HasConnection(struct cm_h1_pool *pool, const char *address,
+                       int64_t idle_max_ms);
+
 /// Cancels a call: the connection is closed and no callback follows. Does
 /// nothing if no call is in progress.
 void
--- a/packages/h1/src/pool.c
+++ b/packages/h1/src/pool.c
@@ -15,6 +15,7 @@
     struct cm_h1_call *call;     ///< NULL while idle
     struct event *connect_timer; ///< NULL once the connection is established
     bool established;
+    bool connect_only;     ///< the call sends nothing
     bool response_matches; ///< the message being read belongs to the call
     int skipped_responses;
     size_t body_max_bytes; ///< of the call's response, 0 for no limit
@@ -71,6 +72,16 @@
     }
 }
 
+/// Moves a connection without a call to the idle list.
+static void
+make_idle(struct cm_h1_pool_conn *pool_conn)
+{
+    pool_conn->call = NULL;
+    pool_conn->idle_since = CmClock_Now(pool_conn->peer->pool->clock);
+    LIST_REMOVE(pool_conn, link);
+    LIST_INSERT_HEAD(&pool_conn->peer->idle, pool_conn, link);
+}
+
 static void
 on_connected(void *context)
 {
@@ -78,6 +89,14 @@
     pool_conn->established = true;
     event_free(pool_conn->connect_timer);
     pool_conn->connect_timer = NULL;
+    if (pool_conn->connect_only) {
+        struct cm_h1_call *call = pool_conn->call;
+        pool_conn->connect_only = false;
+        pool_conn->keep_alive_ms = CM_H1_KEEP_ALIVE_DEFAULT_MS;
+        make_idle(pool_conn);
+        call->pool_conn = NULL;
+        call->handler->done(call->context, CM_H1_CALL_COMPLETE);
+    }
 }
 
 static void
@@ -152,10 +171,7 @@
         pool_conn_free(pool_conn);
         return;
     }
-    pool_conn->call = NULL;
-    pool_conn->idle_since = CmClock_Now(pool_conn->peer->pool->clock);
-    LIST_REMOVE(pool_conn, link);
-    LIST_INSERT_HEAD(&pool_conn->peer->idle, pool_conn, link);
+    make_idle(pool_conn);
 }
 
 static void
@@ -254,7 +270,7 @@
 /// @return an idle connection that may be reused, still in the idle list, or
 /// NULL.
 static struct cm_h1_pool_conn *
-take_idle_connection(struct cm_h1_peer *peer, int64_t idle_max_ms)
+find_idle_connection(struct cm_h1_peer *peer, int64_t idle_max_ms)
 {
     struct timespec now = CmClock_Now(peer->pool->clock);
     struct cm_h1_pool_conn *pool_conn;
@@ -298,7 +314,7 @@
 {
     struct cm_h1_peer *peer = find_peer(pool, request->address);
     struct cm_h1_pool_conn *pool_conn =
-        take_idle_connection(peer, request->idle_max_ms);
+        find_idle_connection(peer, request->idle_max_ms);
     *call = (struct cm_h1_call){.handler = call_handler, .context = context};
     if (pool_conn != NULL) {
         LIST_REMOVE(pool_conn, link);
@@ -325,6 +341,30 @@
     return true;
 }
 
+bool
+CmH1Call_Connect(struct cm_h1_call *call, struct cm_h1_pool *pool,
+                 const char *address,
+                 const struct cm_h1_call_handler *call_handler, void *context)
+{
+    *call = (struct cm_h1_call){.handler = call_handler, .context = context};
+    struct cm_h1_pool_conn *pool_conn =
+        open_connection(find_peer(pool, address));
+    if (pool_conn == NULL) {
+        return false;
+    }
+    pool_conn->connect_only = true;
+    pool_conn->call = call;
+    call->pool_conn = pool_conn;
+    return true;
+}
+
+bool
+CmH1Pool_HasConnection(struct cm_h1_pool *pool, const char *address,
+                       int64_t idle_max_ms)
+{
+    return find_idle_connection(find_peer(pool, address), idle_max_ms) != NULL;
+}
+
 void
 CmH1Call_Cancel(struct cm_h1_call *call)
 {
--- a/packages/h1/tests/pool_test.c
+++ b/packages/h1/tests/pool_test.c
@@ -281,6 +281,50 @@
     event_base_free(base);
 }
 
+/// A connection that was opened for a later call is used by it, and none opens
+/// where nothing listens.
+static void
+test_connect(void)
+{
+    static const struct {
+        bool listens;
+        enum cm_h1_call_result result;
+    } cases[] = {{true, CM_H1_CALL_COMPLETE},
+                 {false, CM_H1_CALL_NOT_CONNECTED}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        static const char *const responses[] = {SIZED_RESPONSE("ab")};
+        struct event_base *base = event_base_new();
+        struct server server = {.responses = responses, .n_responses = 1};
+        server_init(&server, base);
+        struct cm_h1_pool pool;
+        CmH1Pool_Init(&pool, base, CmClock_System());
+        if (!cases[i].listens) {
+            server_finish(&server);
+        }
+        struct outcome outcome = {.base = base, .result = -1};
+        struct cm_h1_call call;
+        CU_ASSERT_FALSE(CmH1Pool_HasConnection(&pool, server.address, 1000));
+        CU_ASSERT_FATAL(CmH1Call_Connect(&call, &pool, server.address,
+                                         &handler, &outcome));
+        event_base_dispatch(base);
+        CU_ASSERT_EQUAL(outcome.result, (int)cases[i].result);
+        CU_ASSERT_FALSE(CmH1Call_Active(&call));
+        CU_ASSERT_EQUAL(CmH1Pool_HasConnection(&pool, server.address, 1000),
+                        cases[i].listens);
+        if (cases[i].listens) {
+            make_call(&pool, server.address, &outcome);
+            CU_ASSERT_EQUAL(outcome.result, CM_H1_CALL_COMPLETE);
+            CU_ASSERT_STRING_EQUAL(outcome.body, "ab");
+            CU_ASSERT_EQUAL(pool.connections_opened, 1);
+        }
+        CmH1Pool_Finish(&pool);
+        if (cases[i].listens) {
+            server_finish(&server);
+        }
+        event_base_free(base);
+    }
+}
+
 /// An address stays in the pool until its connections expire: 4,850 ms after
 /// use, with the announced timeout of 5 s less the margin.
 static void
@@ -442,6 +486,7 @@
 }
 
 static const struct cm_test tests[] = {
+    {"connect for a later call", test_connect},
     {"endless responses", test_endless_responses},
     {"expired addresses are removed", test_close_expired},
     {"responses", test_responses},
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -44,6 +44,7 @@
 void
 Request_Free(struct request *request)
 {
+    Successor_Finish(request);
     Lease_Release(request);
     TrialClaim_Finish(request);
     RateLimits_FinishRequest(request);
@@ -229,6 +230,9 @@
         Request_GiveUp(request, "the budget of repeats is spent");
         return;
     }
+    if (request->search.active && !Successor_Connect(request, target)) {
+        return;
+    }
     // Other gateways may have learned more since the request arrived.
     const char *reason;
     switch (TrialClaim_Admit(request, target, &reason)) {
@@ -495,6 +499,7 @@
     case PLACEMENT_CLAIMING_PERMIT:
         Request_SetPlacementTimer(request, Request_LeftMs(request));
         break;
+    case PLACEMENT_CONNECTING:
     case PLACEMENT_NONE:
         break;
     }
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -21,6 +21,7 @@
     PLACEMENT_LEASING,  ///< an agent's reply to a lease request
     PLACEMENT_CLAIMING, ///< a trial of its content, or the end of another one
     PLACEMENT_CLAIMING_PERMIT, ///< a permit of a target that names a limit
+    PLACEMENT_CONNECTING,      ///< a connection to the successor
 };
 
 /// An adapter lease for the next attempt, requested from or granted by one
@@ -72,6 +73,8 @@
 struct successor_search {
     bool active;
     size_t n_excluded; ///< targets that were excluded before it
+    struct cm_h1_call connect;
+    struct cm_live_target *target; ///< to which it connects; NULL for none
 };
 
 struct request {
--- a/programs/coriandermoor/gateway/successor.c
+++ b/programs/coriandermoor/gateway/successor.c
@@ -64,6 +64,7 @@
     request->search.active = false;
     request->placement = PLACEMENT_NONE;
     evtimer_del(request->placement_timer);
+    Successor_Finish(request);
     Lease_Release(request);
     TrialClaim_Finish(request);
     RateLimits_FinishRequest(request);
@@ -89,6 +90,56 @@
     }
 }
 
+void
+Successor_Finish(struct request *request)
+{
+    struct successor_search *search = &request->search;
+    CmH1Call_Cancel(&search->connect);
+    if (search->target != NULL) {
+        CmTarget_Unref(search->target);
+        search->target = NULL;
+    }
+}
+
+static void
+on_connect_end(void *context, enum cm_h1_call_result end)
+{
+    struct request *request = context;
+    struct cm_live_target *target = g_steal_pointer(&request->search.target);
+    if (end == CM_H1_CALL_COMPLETE && !target->draining && !target->removed) {
+        Request_SendTo(request, target);
+    }
+    else {
+        if (end != CM_H1_CALL_COMPLETE) {
+            CmTarget_CountLost(target, Gateway_Now(request->gateway));
+        }
+        Request_ExcludeTarget(request, target);
+        Lease_Release(request);
+        Request_Place(request);
+    }
+    CmTarget_Unref(target);
+}
+
+bool
+Successor_Connect(struct request *request, struct cm_live_target *target)
+{
+    static const struct cm_h1_call_handler handler = {NULL, NULL,
+                                                      on_connect_end};
+    struct successor_search *search = &request->search;
+    if (TargetCall_HasConnection(request, target)) {
+        return true;
+    }
+    request->placement = PLACEMENT_CONNECTING;
+    evtimer_del(request->placement_timer); // a connect has its own timeout
+    if (!CmH1Call_Connect(&search->connect, &request->gateway->pool,
+                          target->address, &handler, request)) {
+        Request_GiveUp(request, "no connection could be opened");
+        return false;
+    }
+    search->target = CmTarget_Ref(target);
+    return false;
+}
+
 void
 Successor_TakeOver(struct request *request)
 {
--- a/programs/coriandermoor/gateway/successor.h
+++ b/programs/coriandermoor/gateway/successor.h
@@ -3,7 +3,7 @@
 ///
 /// The attempt goes on during the search and ends only when its successor is
 /// about to be sent. A target that was silent for a moment thus loses no
-/// response for want of a lease, a permit, a trial or a retry.
+/// response for want of a lease, a permit, a trial, a retry or a connection.
 
 #ifndef GATEWAY_SUCCESSOR_H
 #define GATEWAY_SUCCESSOR_H
@@ -29,8 +29,18 @@
 void
 Successor_KeepForRetry(struct request *request);
 
+/// Opens a connection to the successor, unless there is an idle one.
+/// @return whether it is open. Otherwise Request_SendTo() is called again
+/// later, or the request is placed at another target.
+bool
+Successor_Connect(struct request *request, struct cm_live_target *target);
+
 /// Ends the search and the stalled attempt. The successor is sent next.
 void
 Successor_TakeOver(struct request *request);
 
+/// Ends a connect that is under way.
+void
+Successor_Finish(struct request *request);
+
 #endif
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -89,6 +89,22 @@
 static const struct cm_h1_call_handler call_handler = {on_head, on_body,
                                                        on_end};
 
+static int64_t
+idle_max_ms(const struct request *request)
+{
+    return request->route->retry_mode == CM_RETRY_MODE_NEVER
+               ? IDLE_NO_RETRY_MAX_MS
+               : IDLE_RETRY_MAX_MS;
+}
+
+bool
+TargetCall_HasConnection(const struct request *request,
+                         const struct cm_live_target *target)
+{
+    return CmH1Pool_HasConnection(&request->gateway->pool, target->address,
+                                  idle_max_ms(request));
+}
+
 bool
 TargetCall_Send(struct request *request, struct cm_live_target *target)
 {
@@ -126,9 +142,7 @@
     struct cm_h1_call_request call = {
         .address = target->address,
         .message = message,
-        .idle_max_ms = route->retry_mode == CM_RETRY_MODE_NEVER
-                           ? IDLE_NO_RETRY_MAX_MS
-                           : IDLE_RETRY_MAX_MS,
+        .idle_max_ms = idle_max_ms(request),
         .body_max_bytes = route->stream ? 0 : BODY_MAX_BYTES,
     };
     bool started = CmH1Call_Start(&attempt->call, &gateway->pool, &call,
--- a/programs/coriandermoor/gateway/target_call.h
+++ b/programs/coriandermoor/gateway/target_call.h
@@ -11,6 +11,12 @@
 bool
 TargetCall_Send(struct request *request, struct cm_live_target *target);
 
+/// @return whether a request that is sent to `target` now would use an open
+/// connection.
+bool
+TargetCall_HasConnection(const struct request *request,
+                         const struct cm_live_target *target);
+
 /// Cancels the attempt and releases its lease. Closing its connection makes
 /// the target cancel the request.
 void
