--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -4,6 +4,7 @@
 #include "target_call.h"
 
 #include "crash_watch.h"
+#include "lease.h"
 #include "rate_limits.h"
 #include "target_notices.h"
 
@@ -45,6 +46,9 @@
     }
     g_string_truncate(attempt->head, 0);
     CmCallCodec_ComposeResponseHead(head, attempt->head);
+    if (!request->route->stream && is_success(attempt->response.status)) {
+        Request_CountProgress(request);
+    }
     return true;
 }
 
@@ -62,6 +66,9 @@
         return;
     }
     g_string_append_len(attempt->body, data, (gssize)size);
+    if (is_success(attempt->response.status)) {
+        Request_CountProgress(request);
+    }
 }
 
 static void
@@ -84,6 +91,22 @@
 static const struct cm_h1_call_handler call_handler = {on_head, on_body,
                                                        on_end};
 
+static int64_t
+idle_max_ms(const struct request *request)
+{
+    return request->route->retry_mode == CM_RETRY_MODE_NEVER
+               ? IDLE_NO_RETRY_MAX_MS
+               : IDLE_RETRY_MAX_MS;
+}
+
+bool
+TargetCall_HasConnection(const struct request *request,
+                         const struct cm_live_target *target)
+{
+    return CmH1Pool_HasConnection(&request->gateway->pool, target->address,
+                                  idle_max_ms(request));
+}
+
 bool
 TargetCall_Send(struct request *request, struct cm_live_target *target)
 {
@@ -112,6 +135,7 @@
         attempt->body = g_string_new(NULL);
     }
     g_string_truncate(attempt->body, 0);
+    attempt->is_trial = request->trial.running;
     attempt->has_head = false;
     attempt->response = (struct cm_target_response){0};
     attempt->invalid = false;
@@ -120,9 +144,7 @@
     struct cm_h1_call_request call = {
         .address = target->address,
         .message = message,
-        .idle_max_ms = route->retry_mode == CM_RETRY_MODE_NEVER
-                           ? IDLE_NO_RETRY_MAX_MS
-                           : IDLE_RETRY_MAX_MS,
+        .idle_max_ms = idle_max_ms(request),
         .body_max_bytes = route->stream ? 0 : BODY_MAX_BYTES,
     };
     bool started = CmH1Call_Start(&attempt->call, &gateway->pool, &call,
@@ -131,6 +153,7 @@
         attempt->target = CmTarget_Ref(target);
         target->in_flight++;
         request->sends++;
+        Lease_HandOver(request);
         RateLimits_CountSend(request, target);
         if (request->parsed.model != NULL) {
             CmTarget_AddPrompt(target, request->parsed.prompt_tokens, now);
@@ -145,6 +168,7 @@
 TargetCall_Cancel(struct request *request)
 {
     CmH1Call_Cancel(&request->attempt.call);
+    Lease_ReleaseAttempt(request);
     release_target(request);
 }
 
