--- a/programs/coriandermoor/gateway/trial_claim.h
+++ b/programs/coriandermoor/gateway/trial_claim.h
@@ -28,8 +28,7 @@
 void
 TrialClaim_HandleAnswer(struct request *request, bool granted);
 
-/// Keeps the trial of an attempt that did not reach its target for the next
-/// one.
+/// Keeps the trial of an attempt that no target ran for the next one.
 void
 TrialClaim_CountUnsent(struct request *request);
 
