fix(quarantine): parts of prompts that crash targets

Callers whose requests shared an engine with the part lost their streams again and again: crashes were held against contents (host, path, body), and no two requests with the part are alike, so nothing was ever held against it.

Parts of prompts are suspects of the same records now, under names of their own ("part-ID", X-Prompt-Prefix without the last part): a crash names the parts of the runs it cut off, and a target that survives an answer for half a second clears its parts. Sound companions are cleared by other requests all the time, the guilty part never is. After three crashes at different moments the most suspicious part is run alone, by the trials that contents have; a trial whose target crashes refuses it. Parts that were in all the same crashes are only refused together, as the request that is tried may have the guilty one beside the one that it is tried for: requests with one of them run alone and clear it. Crashes of a refused part don't count for contents, and a content on trial in as many crashes shadows parts. Gateways log, count, list and lift parts like contents; with no suspect no prompt is read.

--- a/packages/quarantine/include/quarantine/content_name.h
+++ b/packages/quarantine/include/quarantine/content_name.h
@@ -1,6 +1,7 @@
 /// @file content_name.h
 /// Names of request contents: digest and size. The size lets a process skip
-/// the digest of a request that no suspect is as long as.
+/// the digest of a request that no suspect is as long as. Parts of prompts
+/// have names that no content has.
 
 #ifndef QUARANTINE_CONTENT_NAME_H
 #define QUARANTINE_CONTENT_NAME_H
@@ -17,6 +18,12 @@
 CmContentName_Compose(char name[CM_CONTENT_SIZE], const struct iovec *parts,
                       size_t n);
 
+/// Names a part of prompts after its id. An id that is long, or that isn't all
+/// letters and digits, is replaced by its digest.
+void
+CmContentName_ComposePart(char name[CM_CONTENT_SIZE], const char *id,
+                          size_t length);
+
 /// @return the size of the content, 0 if the name doesn't tell it.
 size_t
 CmContentName_ContentSize(const char *name);
--- a/packages/quarantine/include/quarantine/crash_record.h
+++ b/packages/quarantine/include/quarantine/crash_record.h
@@ -14,8 +14,9 @@
 
 /// Size of the names of targets and observers; longer names are truncated.
 #define CM_CRASH_NAME_SIZE 64
-/// Most runs of one record: what an engine runs at once.
-#define CM_CRASH_RUNS_MAX 64
+/// Most runs of one record: what an engine runs at once, and as many parts of
+/// their prompts.
+#define CM_CRASH_RUNS_MAX 128
 
 enum cm_crash_record_kind {
     CM_CRASH_RECORD_CRASH,     ///< a target ended; `runs` were in progress
@@ -27,9 +28,11 @@
     N_CM_CRASH_RECORD_KINDS
 };
 
-/// One request in progress when its target ended.
+/// One request in progress when its target ended, or a part of the prompts of
+/// such requests.
 struct cm_crash_run {
-    char content[CM_CONTENT_SIZE];
+    char content[CM_CONTENT_SIZE]; ///< or the name of the part
+    int position;   ///< of the part in its prompt, from 1; 0 for a content
     int64_t ran_ms; ///< time from its send until the target ended
     /// The target ended long after the run started. A content crashes a target
     /// when it starts to run, so this is weak evidence.
--- a/packages/quarantine/include/quarantine/quarantine.h
+++ b/packages/quarantine/include/quarantine/quarantine.h
@@ -36,6 +36,7 @@
     bool outdated;        ///< the verdicts may have changed
     size_t n_refused;
     size_t n_on_trial;
+    size_t n_parts;  ///< suspects that are parts of prompts
     uint64_t digest; ///< of all record ids; equal for equal sets
     const struct cm_quarantine_listener *listener;
     void *context;
--- a/packages/quarantine/include/quarantine/verdict.h
+++ b/packages/quarantine/include/quarantine/verdict.h
@@ -16,6 +16,9 @@
 ///   without the content, crashed at the same moment.
 /// - A crash doesn't count while another content that was in as many crashes
 ///   ran in it, too: the next crash of either tells them apart.
+///
+/// Parts of prompts are suspects as well, by rules of their own
+/// (src/part_verdict.c).
 
 #ifndef QUARANTINE_VERDICT_H
 #define QUARANTINE_VERDICT_H
@@ -27,13 +30,19 @@
 /// Weight of a crash that nothing else explains.
 #define CM_VERDICT_CRASH_WEIGHT 2
 
-/// A content that crashes cut off and that has not completed since.
+/// A content, or a part of prompts, that crashes cut off and that has not
+/// completed since.
 struct cm_suspect {
     char content[CM_CONTENT_SIZE];
-    int crashes; ///< in which it ran
-    int weight;  ///< of these crashes; CM_VERDICT_CRASH_WEIGHT each at most
+    int position; ///< deepest in a prompt; 0 for a content
+    int crashes;  ///< in which it ran
+    int weight;   ///< of these crashes; CM_VERDICT_CRASH_WEIGHT each at most
     bool refused;
-    bool on_trial;     ///< not refused, but may only be run alone
+    bool on_trial; ///< not refused, but may only be run alone
+    /// Parts of prompts that one trial can't tell apart: a request that has
+    /// all `group_size` of them is refused. 0 for others.
+    int group;
+    int group_size;
     int trials;        ///< granted and used since it last completed
     int trial_crashes; ///< trials whose target crashed
     struct timespec last_trial;
--- a/packages/quarantine/src/exchange.c
+++ b/packages/quarantine/src/exchange.c
@@ -14,8 +14,11 @@
 /// Hexadecimal digits of an id or digest, with the terminating NUL.
 #define HEX_SIZE 17
 #define HEX_BASE 16
-/// Position of `trial` in a run; absent in messages of earlier releases.
+/// Index of `trial` in a run; absent in messages of earlier releases.
 #define RUN_TRIAL_INDEX 3
+/// Index of `position` in a run; absent for contents.
+#define RUN_POSITION_INDEX 4
+#define POSITION_MAX 1000
 
 static const char *const kind_names[N_CM_CRASH_RECORD_KINDS] = {
     [CM_CRASH_RECORD_CRASH] = "crash",
@@ -78,9 +81,13 @@
     json_t *runs = json_array();
     for (size_t i = 0; i < record->n_runs; i++) {
         const struct cm_crash_run *run = &record->runs[i];
-        json_array_append_new(
-            runs, json_pack("[s,I,b,b]", run->content, (json_int_t)run->ran_ms,
-                            (int)run->late, (int)run->trial));
+        json_t *item =
+            json_pack("[s,I,b,b]", run->content, (json_int_t)run->ran_ms,
+                      (int)run->late, (int)run->trial);
+        if (run->position > 0) {
+            json_array_append_new(item, json_integer(run->position));
+        }
+        json_array_append_new(runs, item);
     }
     return json_pack("{s:o,s:s,s:I,s:s,s:s,s:o}", "id", encode_hex(record->id),
                      "kind", kind_names[record->kind], "age_ms",
@@ -155,7 +162,13 @@
             ran_ms < 0 || ran_ms > CM_QUARANTINE_EXPIRY_MS) {
             return false;
         }
+        json_int_t position =
+            json_integer_value(json_array_get(run, RUN_POSITION_INDEX));
+        if (position < 0 || position > POSITION_MAX) {
+            return false;
+        }
         struct cm_crash_run added = {
+            .position = (int)position,
             .ran_ms = ran_ms,
             .late = late != 0,
             .trial = json_is_true(json_array_get(run, RUN_TRIAL_INDEX)),
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -131,16 +131,24 @@
     }
 }
 
+/// Collects the contents' sizes and counts the parts among the suspects.
 static void
 collect_sizes(struct cm_quarantine *quarantine)
 {
     g_hash_table_remove_all(quarantine->sizes);
+    quarantine->n_parts = 0;
     GHashTableIter iter;
-    void *content;
+    void *value;
     g_hash_table_iter_init(&iter, quarantine->suspects);
-    while (g_hash_table_iter_next(&iter, &content, NULL)) {
-        g_hash_table_add(quarantine->sizes,
-                         GSIZE_TO_POINTER(CmContentName_ContentSize(content)));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct cm_suspect *suspect = value;
+        size_t size = CmContentName_ContentSize(suspect->content);
+        if (suspect->position > 0) {
+            quarantine->n_parts++;
+        }
+        else {
+            g_hash_table_add(quarantine->sizes, GSIZE_TO_POINTER(size));
+        }
     }
 }
 
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -1,48 +1,18 @@
 /// @file verdict.c
 /// Attributes crashes to contents.
 
-#include "quarantine/verdict.h"
+#include "verdict_defs.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
+#include "part_verdict.h"
 
 /// Runs whose times overlap by no more than this count as consecutive, as
 /// processes learn each other's times by messages.
 #define OVERLAP_TOLERANCE_MS 5
 
-/// Crashes of two targets within this time may have one cause, such as a rack.
-#define SAME_MOMENT_MS 100
-
-/// The end of one target, from the records of all that observed it.
-struct crash {
-    const char *target;
-    struct timespec at;
-    bool explained; ///< a refused content ran in it
-};
-
-/// What a crash counts against a content, twice as much if the run had just
-/// started as if the target ended late in it.
-#define EARLY_WEIGHT CM_VERDICT_CRASH_WEIGHT
-#define LATE_WEIGHT 1
-
-/// Part of one content in one crash.
-struct involvement {
-    struct crash *crash;
-    int weight;
-    struct timespec from; ///< when the run was sent
-    struct timespec to;   ///< when the target ended
-    bool trial;           ///< the content ran alone
-};
-
-/// A suspect with its crashes, ordered by time.
-struct candidate {
-    struct cm_suspect *suspect;
-    GArray *involvements; ///< of struct involvement
-    int weight;           ///< of its unexplained crashes
-};
-
 static void
 candidate_free(void *data)
 {
@@ -51,18 +21,6 @@
     g_free(candidate);
 }
 
-/// Working state of one computation.
-struct evaluation {
-    int threshold;          ///< weight from which on a content is refused
-    int min_records;        ///< of a content to be a suspect
-    GHashTable *counts;     ///< content to the number of its crash records
-    GHashTable *alive;      ///< target to the time of its last response
-    GHashTable *cleared;    ///< content to the end of its last good run
-    GHashTable *crashes;    ///< target to struct crash
-    GHashTable *candidates; ///< content to struct candidate
-    GHashTable *suspects;   ///< result
-};
-
 static void
 keep_latest(GHashTable *times, const char *key, const struct timespec *at)
 {
@@ -162,6 +120,7 @@
     struct involvement involvement = {
         crash, run->late ? LATE_WEIGHT : EARLY_WEIGHT,
         CmTime_AddMs(record->at, -run->ran_ms), record->at, run->trial};
+    suspect->position = MAX(suspect->position, run->position);
     name_observer(suspect, record->observer);
     if (CmTime_Before(suspect->last_crash, record->at)) {
         suspect->last_crash = record->at;
@@ -233,6 +192,18 @@
     return CmTime_Before(right->to, left->to) ? 1 : 0;
 }
 
+static void
+sort_involvements(const struct evaluation *evaluation)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, evaluation->candidates);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct candidate *candidate = value;
+        g_array_sort(candidate->involvements, compare_ends);
+    }
+}
+
 static int
 compare_candidates(const void *a, const void *b)
 {
@@ -244,8 +215,8 @@
     return strcmp(left->suspect->content, right->suspect->content);
 }
 
-static bool
-was_in(const struct candidate *candidate, const struct crash *crash)
+bool
+CmCandidate_WasIn(const struct candidate *candidate, const struct crash *crash)
 {
     for (guint i = 0; i < candidate->involvements->len; i++) {
         if (g_array_index(candidate->involvements, struct involvement, i)
@@ -265,7 +236,8 @@
     for (guint i = 0; others != NULL && i < others->len; i++) {
         const struct candidate *other = g_ptr_array_index(others, i);
         if (other != candidate && !other->suspect->refused &&
-            other->weight >= candidate->weight && was_in(other, crash)) {
+            other->weight >= candidate->weight &&
+            CmCandidate_WasIn(other, crash)) {
             return true;
         }
     }
@@ -308,18 +280,18 @@
     return n;
 }
 
-/// @return whether a target without the candidate crashed at the same moment.
-static bool
-others_crashed_with(const struct evaluation *evaluation,
-                    const struct candidate *candidate, struct timespec at)
+bool
+CmCandidate_OthersCrashed(const struct evaluation *evaluation,
+                          const struct candidate *candidate,
+                          struct timespec at)
 {
     GHashTableIter iter;
     void *value;
     g_hash_table_iter_init(&iter, evaluation->crashes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct crash *crash = value;
-        if (llabs(CmTime_DiffMs(crash->at, at)) <= SAME_MOMENT_MS &&
-            !was_in(candidate, crash)) {
+        if (llabs(CmTime_DiffMs(crash->at, at)) <= CM_SAME_MOMENT_MS &&
+            !CmCandidate_WasIn(candidate, crash)) {
             return true;
         }
     }
@@ -336,15 +308,16 @@
         const struct involvement *involvement =
             &g_array_index(candidate->involvements, struct involvement, i);
         if (involvement->trial && !involvement->crash->explained &&
-            !others_crashed_with(evaluation, candidate, involvement->to)) {
+            !CmCandidate_OthersCrashed(evaluation, candidate,
+                                       involvement->to)) {
             return true;
         }
     }
     return false;
 }
 
-static void
-refuse(struct candidate *candidate)
+void
+CmCandidate_Refuse(struct candidate *candidate)
 {
     candidate->suspect->refused = true;
     for (guint i = 0; i < candidate->involvements->len; i++) {
@@ -369,7 +342,7 @@
         if (!candidate->suspect->refused &&
             (failed_trial(evaluation, candidate) ||
              weigh_crashes(candidate, repeated) >= evaluation->threshold)) {
-            refuse(candidate);
+            CmCandidate_Refuse(candidate);
             return true;
         }
     }
@@ -377,7 +350,7 @@
 }
 
 static void
-refuse_all(const struct evaluation *evaluation)
+judge_contents(const struct evaluation *evaluation)
 {
     GPtrArray *repeated = g_ptr_array_new();
     GHashTableIter iter;
@@ -385,7 +358,9 @@
     g_hash_table_iter_init(&iter, evaluation->candidates);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct candidate *candidate = value;
-        g_array_sort(candidate->involvements, compare_ends);
+        if (candidate->suspect->position > 0) {
+            continue;
+        }
         candidate->weight = weigh_crashes(candidate, NULL);
         if (candidate->weight >= evaluation->threshold ||
             failed_trial(evaluation, candidate)) {
@@ -400,6 +375,9 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct candidate *candidate = value;
         struct cm_suspect *suspect = candidate->suspect;
+        if (suspect->position > 0) {
+            continue;
+        }
         suspect->weight = weigh_crashes(candidate, repeated);
         suspect->on_trial =
             !suspect->refused && count_unexplained(candidate) * EARLY_WEIGHT >=
@@ -428,7 +406,13 @@
     collect_clearances(&evaluation, records);
     collect_crashes(&evaluation, records);
     collect_trials(&evaluation, records);
-    refuse_all(&evaluation);
+    sort_involvements(&evaluation);
+    // Crashes that a refused part explains don't count for contents. A content
+    // that its own part crashes is refused, too; it explains other parts only
+    // after the part's verdict.
+    CmPartVerdict_Refuse(&evaluation);
+    judge_contents(&evaluation);
+    CmPartVerdict_PutOnTrial(&evaluation);
     g_hash_table_destroy(evaluation.candidates);
     g_hash_table_destroy(evaluation.crashes);
     g_hash_table_destroy(evaluation.cleared);
--- a/packages/quarantine/tests/quarantine_test.c
+++ b/packages/quarantine/tests/quarantine_test.c
@@ -368,6 +368,28 @@
     CU_ASSERT_EQUAL(CmContentName_ContentSize("a"), 0);
 }
 
+static void
+test_part_names(void)
+{
+    static const struct {
+        const char *id;
+        const char *name; ///< or its beginning, for a digest
+        bool digest;
+    } rows[] = {{"5c1e07a2", "part-5c1e07a2", false},
+                {"", "part-", false},
+                {"0123456789abcdef0123", "part-0123456789abcdef0123", false},
+                {"0123456789abcdef01234", "part-~", true},
+                {"a/b", "part-~", true},
+                {"a.2f", "part-~", true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char name[CM_CONTENT_SIZE];
+        CmContentName_ComposePart(name, rows[i].id, strlen(rows[i].id));
+        CU_ASSERT_TRUE(g_str_has_prefix(name, rows[i].name));
+        CU_ASSERT_EQUAL(strlen(name) > strlen(rows[i].name), rows[i].digest);
+        CU_ASSERT_EQUAL(CmContentName_ContentSize(name), 0);
+    }
+}
+
 /// Only contents as long as a suspect need a look-up.
 static void
 test_sizes(void)
@@ -391,6 +413,7 @@
     {"bounded", test_bounded},
     {"listener", test_listener},
     {"content names", test_content_names},
+    {"part names", test_part_names},
     {"sizes", test_sizes},
 };
 
--- a/programs/coriandermoor/gateway/crash_watch.c
+++ b/programs/coriandermoor/gateway/crash_watch.c
@@ -17,6 +17,7 @@
 
 #include "base/log.h"
 #include "peer_gossip.h"
+#include "prompt_parts.h"
 #include "quarantine/trial.h"
 #include "request.h"
 
@@ -24,8 +25,9 @@
 #define COLLECT_MS 10
 /// Least time between two probes of a target, as it may reset many requests.
 #define PROBE_INTERVAL_MS 200
-/// Most runs of a target that are kept until it is known whether it crashed.
-#define RUNS_MAX CM_CRASH_RUNS_MAX
+/// Most runs of a target, and most parts of their prompts, that are kept until
+/// it is known whether it crashed.
+#define RUNS_MAX (CM_CRASH_RUNS_MAX / 2)
 /// Connect timeout of a probe.
 #define PROBE_TIMEOUT_MS 500
 /// Time after the last attempt that a target cut off, within which it may
@@ -35,9 +37,10 @@
 /// within which even a queued run has started.
 #define LATE_DIVISOR 2
 
-/// A run that was cut off.
+/// A run that was cut off, or a part of the prompts of such runs.
 struct cut_off {
     char content[CM_CONTENT_SIZE];
+    int position; ///< see struct cm_crash_run
     struct timespec sent_at;
     int64_t late_ms; ///< time from its send from which on a crash is late
     bool trial;
@@ -59,6 +62,7 @@
     struct timespec last_cut_off;
     struct timespec probed_at;
     GArray *runs;          ///< of struct cut_off, not recorded yet
+    GArray *parts;         ///< the same for parts of prompts, each once
     evutil_socket_t probe; ///< -1 if there is none
     struct event *probe_event;
     struct event *timer;
@@ -91,6 +95,7 @@
     close_probe(suspicion);
     event_free(suspicion->timer);
     g_array_free(suspicion->runs, TRUE);
+    g_array_free(suspicion->parts, TRUE);
     CmTarget_Unref(suspicion->target);
     g_free(suspicion);
 }
@@ -103,6 +108,41 @@
                              gateway->settings.common.name, at);
 }
 
+/// Moves runs or parts into a record of the crash.
+static void
+move_to_record(const struct crash_suspicion *suspicion, GArray *runs,
+               struct cm_crash_record *record)
+{
+    for (guint i = 0; i < runs->len; i++) {
+        const struct cut_off *run = &g_array_index(runs, struct cut_off, i);
+        int64_t ran_ms = CmTime_DiffMs(suspicion->last_cut_off, run->sent_at);
+        struct cm_crash_run added = {.position = run->position,
+                                     .ran_ms = ran_ms,
+                                     .late = ran_ms > run->late_ms,
+                                     .trial = run->trial};
+        g_strlcpy(added.content, run->content, sizeof(added.content));
+        CmCrashRecord_AddRun(record, &added);
+    }
+    g_array_set_size(runs, 0);
+}
+
+static void
+log_crash(const struct crash_suspicion *suspicion)
+{
+    GString *parts = g_string_new(NULL);
+    for (guint i = 0; i < suspicion->parts->len; i++) {
+        g_string_append_printf(
+            parts, "%s%s", i > 0 ? ", " : ", with prompt parts ",
+            g_array_index(suspicion->parts, struct cut_off, i).content);
+    }
+    CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
+                "%s at %s crashed and cut off %u requests, which are "
+                "suspects%s",
+                suspicion->target->id, suspicion->target->address,
+                suspicion->runs->len, parts->str);
+    g_string_free(parts, TRUE);
+}
+
 /// Records the crash with the runs that have been cut off since the last
 /// record.
 static void
@@ -114,28 +154,16 @@
     }
     suspicion->state = SUSPICION_CONFIRMED;
     set_timer(suspicion, SUSPICION_MS);
-    if (suspicion->runs->len == 0) {
+    if (suspicion->runs->len + suspicion->parts->len == 0) {
         return;
     }
     char name[CM_CRASH_NAME_SIZE];
     CmTarget_WriteIncarnation(suspicion->target, name, sizeof(name));
     struct cm_crash_record *record = new_record(gateway, CM_CRASH_RECORD_CRASH,
                                                 name, suspicion->last_cut_off);
-    for (guint i = 0; i < suspicion->runs->len; i++) {
-        const struct cut_off *run =
-            &g_array_index(suspicion->runs, struct cut_off, i);
-        int64_t ran_ms = CmTime_DiffMs(suspicion->last_cut_off, run->sent_at);
-        struct cm_crash_run added = {.ran_ms = ran_ms,
-                                     .late = ran_ms > run->late_ms,
-                                     .trial = run->trial};
-        g_strlcpy(added.content, run->content, sizeof(added.content));
-        CmCrashRecord_AddRun(record, &added);
-    }
-    CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
-                "%s at %s crashed and cut off %u requests, which are suspects",
-                suspicion->target->id, suspicion->target->address,
-                suspicion->runs->len);
-    g_array_set_size(suspicion->runs, 0);
+    log_crash(suspicion);
+    move_to_record(suspicion, suspicion->runs, record);
+    move_to_record(suspicion, suspicion->parts, record);
     PeerGossip_Observe(gateway, record);
 }
 
@@ -244,6 +272,7 @@
     suspicion->gateway = gateway;
     suspicion->target = CmTarget_Ref(target);
     suspicion->runs = g_array_new(FALSE, FALSE, sizeof(struct cut_off));
+    suspicion->parts = g_array_new(FALSE, FALSE, sizeof(struct cut_off));
     suspicion->probe = -1;
     suspicion->timer = evtimer_new(gateway->base, on_timer, suspicion);
     leave_open(suspicion);
@@ -259,17 +288,68 @@
     return !attempt->target->draining && !attempt->target->removed;
 }
 
+/// @return whether the attempt is the trial of this content or part.
+static bool
+is_trial_of(const struct request *request, const char *content)
+{
+    return request->trial.running &&
+           strcmp(request->trial.content, content) == 0;
+}
+
+/// Adds a run, or a part of its prompt.
+static void
+add_cut_off(GArray *runs, const struct cut_off *run, const char *content)
+{
+    if (runs->len < RUNS_MAX) {
+        struct cut_off added = *run;
+        g_strlcpy(added.content, content, sizeof(added.content));
+        g_array_append_val(runs, added);
+    }
+}
+
+static struct cut_off *
+find_part(const struct crash_suspicion *suspicion, const char *name)
+{
+    for (guint i = 0; i < suspicion->parts->len; i++) {
+        struct cut_off *part =
+            &g_array_index(suspicion->parts, struct cut_off, i);
+        if (strcmp(part->content, name) == 0) {
+            return part;
+        }
+    }
+    return NULL;
+}
+
+/// Adds the parts of the request's prompt, unless the target has survived
+/// them.
+static void
+add_parts(struct crash_suspicion *suspicion, struct request *request,
+          struct cut_off run)
+{
+    const struct prompt_parts *parts = PromptParts_Of(request);
+    for (size_t i = 0; !request->attempt.parts_cleared && i < parts->n; i++) {
+        run.position = (int)i + 1;
+        run.trial = is_trial_of(request, parts->names[i]);
+        struct cut_off *known = find_part(suspicion, parts->names[i]);
+        if (known == NULL) {
+            add_cut_off(suspicion->parts, &run, parts->names[i]);
+        }
+        else {
+            known->trial = known->trial || run.trial;
+        }
+    }
+}
+
 static void
 add_run(struct crash_suspicion *suspicion, struct request *request,
         int64_t late_ms)
 {
+    const char *content = Request_Content(request);
     struct cut_off run = {.sent_at = request->attempt.sent_at,
                           .late_ms = late_ms,
-                          .trial = request->trial.running};
-    g_strlcpy(run.content, Request_Content(request), sizeof(run.content));
-    if (suspicion->runs->len < RUNS_MAX) {
-        g_array_append_val(suspicion->runs, run);
-    }
+                          .trial = is_trial_of(request, content)};
+    add_cut_off(suspicion->runs, &run, content);
+    add_parts(suspicion, request, run);
     suspicion->last_cut_off = Gateway_Now(suspicion->gateway);
 }
 
@@ -330,8 +410,49 @@
     }
 }
 
-const struct cm_suspect *
-CrashWatch_Suspect(struct request *request)
+void
+CrashWatch_ForgetParts(struct gateway *gateway,
+                       const struct prompt_parts *parts)
+{
+    struct crash_suspicion *suspicion;
+    CmList_FOREACH (suspicion, &gateway->crash_suspicions, link) {
+        for (size_t i = 0; i < parts->n; i++) {
+            const struct cut_off *known =
+                find_part(suspicion, parts->names[i]);
+            if (known != NULL) {
+                g_array_remove_index_fast(
+                    suspicion->parts,
+                    (guint)(known - (struct cut_off *)suspicion->parts->data));
+            }
+        }
+    }
+}
+
+bool
+CrashWatch_HasCrashed(const struct gateway *gateway,
+                      const struct cm_live_target *target,
+                      struct timespec since)
+{
+    const struct crash_suspicion *suspicion = find_suspicion(gateway, target);
+    if (suspicion != NULL && !CmTime_Before(suspicion->last_cut_off, since) &&
+        (suspicion->state != SUSPICION_OPEN || suspicion->runs->len > 0)) {
+        return true;
+    }
+    char name[CM_CRASH_NAME_SIZE];
+    CmTarget_WriteIncarnation(target, name, sizeof(name));
+    const struct cm_crash_record *record;
+    CmTailq_FOREACH (record, &gateway->quarantine.records, link) {
+        if (record->kind == CM_CRASH_RECORD_CRASH &&
+            strcmp(record->target, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return what is held against the request's content, or NULL.
+static const struct cm_suspect *
+find_content_suspect(struct request *request)
 {
     const struct cm_quarantine *quarantine = &request->gateway->quarantine;
     return CmQuarantine_HasSize(quarantine, Request_ContentSize(request))
@@ -339,12 +460,22 @@
                : NULL;
 }
 
+const struct cm_suspect *
+CrashWatch_Suspect(struct request *request)
+{
+    const struct cm_suspect *content = find_content_suspect(request);
+    const struct cm_suspect *part = PromptParts_FindSuspect(request);
+    bool decides = part != NULL &&
+                   (part->refused || content == NULL || !content->refused);
+    return decides ? part : content;
+}
+
 void
 CrashWatch_CountCompleted(struct request *request)
 {
     struct gateway *gateway = request->gateway;
     forget_runs(request);
-    if (CrashWatch_Suspect(request) != NULL) {
+    if (find_content_suspect(request) != NULL) {
         struct cm_crash_record *record = new_record(
             gateway, CM_CRASH_RECORD_COMPLETED, "", Gateway_Now(gateway));
         CmCrashRecord_AddContent(record, Request_Content(request));
@@ -374,6 +505,7 @@
                                                name, Gateway_Now(gateway)));
     }
     g_array_set_size(suspicion->runs, 0);
+    g_array_set_size(suspicion->parts, 0);
     close_probe(suspicion);
     leave_open(suspicion);
 }
@@ -394,6 +526,21 @@
     }
 }
 
+static const char *
+kind_of(const struct cm_suspect *suspect)
+{
+    return suspect->position > 0 ? "prompt part" : "content";
+}
+
+const char *
+CrashWatch_Reason(struct request *request)
+{
+    const struct cm_suspect *suspect = CrashWatch_Suspect(request);
+    return suspect != NULL && suspect->position > 0
+               ? "a part of its prompt has crashed several targets"
+               : "its content has crashed several targets";
+}
+
 bool
 CrashWatch_Refuses(struct request *request)
 {
@@ -402,14 +549,15 @@
         return false;
     }
     const struct cm_suspect *suspect = CrashWatch_Suspect(request);
-    if (CmTrial_NextStep(suspect, Gateway_Now(gateway)) != CM_TRIAL_REFUSE) {
+    if (CmTrial_NextStep(suspect, Gateway_Now(gateway)) != CM_TRIAL_REFUSE &&
+        !PromptParts_AreRefusedTogether(request)) {
         return false;
     }
     CmLog_Event(G_LOG_LEVEL_INFO, "quarantine", request->parsed.id,
-                "content %s is refused after %d crashes and %d trials, seen "
-                "by %s, the last %" PRId64 " ms ago",
-                suspect->content, suspect->crashes, suspect->trials,
-                suspect->observers,
+                "%s %s is refused after %d crashes and %d trials, seen by %s, "
+                "the last %" PRId64 " ms ago",
+                kind_of(suspect), suspect->content, suspect->crashes,
+                suspect->trials, suspect->observers,
                 CmTime_DiffMs(Gateway_Now(gateway), suspect->last_crash));
     gateway->count.quarantine_refusals.value++;
     request->quarantined = true;
@@ -425,7 +573,8 @@
         return false;
     }
     CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
-                "an operator lifts the verdict on content %s", content);
+                "an operator lifts the verdict on %s %s", kind_of(suspect),
+                content);
     struct cm_crash_record *record =
         new_record(gateway, CM_CRASH_RECORD_LIFTED, "", Gateway_Now(gateway));
     CmCrashRecord_AddContent(record, content);
@@ -439,14 +588,16 @@
     struct gateway *gateway = context;
     if (refused) {
         CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
-                    "content %s is refused from now on: %d crashes of "
-                    "targets, seen by %s, the last %" PRId64 " ms ago",
-                    suspect->content, suspect->crashes, suspect->observers,
+                    "%s %s is refused from now on: %d crashes of targets, %d "
+                    "trials, seen by %s, the last %" PRId64 " ms ago",
+                    kind_of(suspect), suspect->content, suspect->crashes,
+                    suspect->trials, suspect->observers,
                     CmTime_DiffMs(Gateway_Now(gateway), suspect->last_crash));
     }
     else {
         CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
-                    "content %s is no longer refused", suspect->content);
+                    "%s %s is no longer refused", kind_of(suspect),
+                    suspect->content);
     }
 }
 
@@ -455,10 +606,11 @@
 {
     struct gateway *gateway = context;
     CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", NULL,
-                "content %s is only run alone from now on: %d crashes of "
-                "targets, seen by %s, which count as %.1f of %d, the last "
+                "%s %s is only run alone from now on: %d crashes of targets, "
+                "seen by %s, which count as %.1f of %d, the last "
                 "%" PRId64 " ms ago",
-                suspect->content, suspect->crashes, suspect->observers,
+                kind_of(suspect), suspect->content, suspect->crashes,
+                suspect->observers,
                 (double)suspect->weight / CM_VERDICT_CRASH_WEIGHT,
                 GATEWAY_CRASHES_TO_REFUSE,
                 CmTime_DiffMs(Gateway_Now(gateway), suspect->last_crash));
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -94,14 +94,17 @@
     const struct verdict_list *list = context;
     json_array_append_new(
         list->verdicts,
-        json_pack("{s:s,s:b,s:i,s:i,s:s,s:I}", "content", suspect->content,
-                  "refused", (int)suspect->refused, "crashes",
-                  suspect->crashes, "trials", suspect->trials, "observers",
-                  suspect->observers, "last_crash_ms_ago",
+        json_pack("{s:s,s:i,s:b,s:i,s:i,s:i,s:s,s:I}", "content",
+                  suspect->content, "prompt_position", suspect->position,
+                  "refused", (int)suspect->refused, "refused_together",
+                  suspect->group_size, "crashes", suspect->crashes, "trials",
+                  suspect->trials, "observers", suspect->observers,
+                  "last_crash_ms_ago",
                   (json_int_t)CmTime_DiffMs(list->now, suspect->last_crash)));
 }
 
-/// Lists the contents that are refused or on trial, or clears one of them:
+/// Lists the contents and parts of prompts that are refused or on trial, with
+/// the parts' positions in prompts (0 for contents), or clears one of them:
 /// DELETE of its name below this path.
 static void
 answer_quarantine(struct endpoint_conn *endpoint)
@@ -300,6 +303,9 @@
     CmCounters_Add(all, &count->trial_refusals,
                    "cm_gateway_trial_refusals_total",
                    "Requests refused as their content is on trial.");
+    CmCounters_Add(all, &count->parts_cleared,
+                   "cm_gateway_prompt_parts_cleared_total",
+                   "Suspected parts of prompts that targets survived.");
     CmCounters_Add(all, &count->gossip_bytes, "cm_gateway_gossip_bytes_total",
                    "Bytes of crash records and polls sent to gateways.");
     CmCounters_AddGauge(all, &count->quarantined,
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -5,8 +5,9 @@
 /// caller_conns.c reads requests and passes them to request.c. placement.c
 /// picks a target for each attempt, lease.c acquires the adapter there, and
 /// target_call.c sends the request. responses.c writes to the caller.
-/// crash_watch.c finds contents that crash their targets, trial_claim.c has
-/// suspects run alone, and peer_gossip.c shares records with other gateways.
+/// crash_watch.c finds contents that crash their targets, prompt_parts.c parts
+/// of prompts that do, trial_claim.c has suspects run alone, and peer_gossip.c
+/// shares records with other gateways.
 /// rate_limits.c keeps the rate limits that targets name, and peer_call.c
 /// carries the messages between gateways.
 /// store_watches.c maintains the tables that placement.c reads. While the
@@ -56,6 +57,7 @@
     struct cm_counter quarantine_refusals;
     struct cm_counter trials;
     struct cm_counter trial_refusals;
+    struct cm_counter parts_cleared;
     struct cm_counter gossip_bytes;
     struct cm_counter quarantined;
     struct cm_counter on_trial;
@@ -123,6 +125,8 @@
     int64_t ticks;
     /// Targets that cut off requests and may have crashed.
     LIST_HEAD(, crash_suspicion) crash_suspicions;
+    /// Answers whose targets are still to survive their prompts.
+    LIST_HEAD(, survival) survivals;
     /// Connections for readiness, metrics and snapshots.
     LIST_HEAD(, endpoint_conn) endpoint_conns;
     TAILQ_HEAD(, caller_conn) callers;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -17,6 +17,7 @@
 #include "lease.h"
 #include "peer_fetch.h"
 #include "peer_gossip.h"
+#include "prompt_parts.h"
 #include "rate_limits.h"
 #include "reload.h"
 #include "store_watches.h"
@@ -208,6 +209,7 @@
     StoreWatch_Init(gateway);
     PeerFetch_Init(gateway);
     CrashWatch_Init(gateway);
+    PromptParts_Init(gateway);
     PeerGossip_Init(gateway);
     RateLimits_Init(gateway);
     CmProgram_FileChanged(settings->common.path, &gateway->settings_stamp);
@@ -237,6 +239,7 @@
     PeerFetch_Finish(gateway);
     RateLimits_Finish(gateway);
     PeerGossip_Finish(gateway);
+    PromptParts_Finish(gateway);
     CrashWatch_Finish(gateway);
     StoreWatch_Finish(gateway);
     Lease_CancelCalls(gateway);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -11,6 +11,7 @@
 #include "crash_watch.h"
 #include "lease.h"
 #include "placement.h"
+#include "prompt_parts.h"
 #include "rate_limits.h"
 #include "responses.h"
 #include "target_call.h"
@@ -52,6 +53,7 @@
     }
     CmEventStream_Finish(&request->events);
     CmCallCodec_FinishRequest(&request->parsed);
+    g_free(request->parts);
     CmCatalog_Unref(request->catalog);
     Request_ClearExcluded(request);
     event_free(request->timer);
@@ -245,6 +247,7 @@
             request->first_event_at = request->last_event_at;
             Request_CountLatency(request, LATENCY_FIRST_EVENT);
         }
+        PromptParts_CountEvents(request);
         Response_WriteEvents(request, events);
         start_progress_timer(request);
         if (CmH1Conn_PendingOutput(&request->caller->conn) >
@@ -354,6 +357,7 @@
         CmTarget_CountAnswer(request->attempt.target, false,
                              Gateway_Now(request->gateway));
         CrashWatch_CountCompleted(request);
+        PromptParts_CountCompleted(request);
         if (request->route->stream) {
             Response_EndStream(request);
         }
@@ -559,7 +563,8 @@
         return;
     }
     if (CrashWatch_Refuses(request)) {
-        Response_SendLocal(request, STATUS_UNAVAILABLE, CRASH_WATCH_REASON);
+        Response_SendLocal(request, STATUS_UNAVAILABLE,
+                           CrashWatch_Reason(request));
         return;
     }
     count_demand(request);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -44,11 +44,20 @@
     struct timespec sent_at;
     struct timespec first_event_at; ///< of this attempt; 0 for none
     bool has_head;
-    bool invalid; ///< malformed stream, or body too large
+    bool invalid;       ///< malformed stream, or body too large
+    bool parts_cleared; ///< it shows that its prompt's parts are sound
 };
 
-/// Wait of a request whose content may only be run alone.
+/// Names of the parts of a request's prompt that other requests share.
+struct prompt_parts {
+    size_t n;
+    char names[CM_PROMPT_PARTS_MAX][CM_CONTENT_SIZE];
+};
+
+/// Wait of a request whose content, or a part of its prompt, may only be run
+/// alone.
 struct trial {
+    char content[CM_CONTENT_SIZE]; ///< what is tried, also a part's name
     struct gossip_call *call;      ///< to the arbiter; NULL without one
     struct cm_live_target *target; ///< picked before the wait
     uint64_t claim_id;             ///< 0 until the first claim
@@ -98,6 +107,7 @@
     bool quarantined;    ///< refused, as its content crashes targets
     char
         content[CM_CONTENT_SIZE]; ///< see Request_Content(); "" until computed
+    struct prompt_parts *parts;   ///< see PromptParts_Of(); NULL until then
     /// The stream's head was sent without "Connection: close".
     bool keep_alive;
 };
--- a/programs/coriandermoor/gateway/trial_claim.c
+++ b/programs/coriandermoor/gateway/trial_claim.c
@@ -4,6 +4,8 @@
 
 #include "trial_claim.h"
 
+#include <string.h>
+
 #include "base/log.h"
 #include "crash_watch.h"
 #include "lease.h"
@@ -44,6 +46,30 @@
     }
 }
 
+/// Sets what the request is tried for. A claim or permission for something
+/// else, whose verdict has changed meanwhile, is given up.
+static void
+set_content(struct request *request, const char *content)
+{
+    struct trial *trial = &request->trial;
+    if (strcmp(trial->content, content) == 0) {
+        return;
+    }
+    if (trial->call != NULL) {
+        PeerGossip_ForgetClaim(trial->call);
+        trial->call = NULL;
+    }
+    // Giving a trial back updates the verdicts, to which `content` belongs.
+    char given_back[CM_CONTENT_SIZE];
+    g_strlcpy(given_back, trial->content, sizeof(given_back));
+    g_strlcpy(trial->content, content, sizeof(trial->content));
+    trial->claim_id = 0;
+    if (trial->granted) {
+        trial->granted = false;
+        PeerGossip_GiveBackTrial(request->gateway, given_back);
+    }
+}
+
 /// Claims the trial at its arbiter, which may be this gateway.
 /// @return whether it is granted already.
 static bool
@@ -51,7 +77,7 @@
 {
     struct gateway *gateway = request->gateway;
     struct trial *trial = &request->trial;
-    const char *content = Request_Content(request);
+    const char *content = trial->content;
     const char *arbiter = CmArbiter_Choose(&gateway->gossip, content);
     if (arbiter == NULL) {
         return PeerGossip_GrantTrial(gateway, content, trial->claim_id);
@@ -67,7 +93,7 @@
 refuse(struct request *request, const char *why, const char **reason)
 {
     CmLog_Event(G_LOG_LEVEL_INFO, "quarantine", request->parsed.id,
-                "content %s is on trial: %s", Request_Content(request), why);
+                "%s is on trial: %s", request->trial.content, why);
     request->gateway->count.trial_refusals.value++;
     request->min_queue_wait_ms = RETRY_AFTER_MS;
     *reason = "its content is on trial after several crashes of targets";
@@ -75,12 +101,11 @@
 }
 
 static enum trial_admission
-admit_trial(struct request *request)
+admit_trial(struct request *request, const struct cm_live_target *target)
 {
     struct trial *trial = &request->trial;
     CmLog_Event(G_LOG_LEVEL_WARNING, "quarantine", request->parsed.id,
-                "content %s is tried alone at %s", Request_Content(request),
-                trial->target->id);
+                "%s is tried alone at %s", trial->content, target->id);
     request->gateway->count.trials.value++;
     trial->granted = false;
     trial->running = true;
@@ -96,20 +121,21 @@
     bool was_tried = trial->running;
     trial->running = false;
     if (CrashWatch_Refuses(request)) {
-        *reason = CRASH_WATCH_REASON;
+        *reason = CrashWatch_Reason(request);
         return TRIAL_REFUSED;
     }
-    if (CmTrial_NextStep(CrashWatch_Suspect(request), now) ==
-        CM_TRIAL_NOT_NEEDED) {
+    const struct cm_suspect *suspect = CrashWatch_Suspect(request);
+    if (CmTrial_NextStep(suspect, now) == CM_TRIAL_NOT_NEEDED) {
         return TRIAL_ADMITTED;
     }
     if (was_tried) {
         return refuse(request, "its trial has ended", reason);
     }
+    set_content(request, suspect->content);
     remember_target(trial, target);
     start_wait(request);
     if (trial->granted || claim(request)) {
-        return admit_trial(request);
+        return admit_trial(request, target);
     }
     if (!CmTime_Before(now, trial->give_up_at)) {
         return refuse(request, "another copy of it is tried", reason);
@@ -167,7 +193,7 @@
         PeerGossip_ForgetClaim(request->trial.call);
     }
     if (request->trial.granted) {
-        PeerGossip_GiveBackTrial(request->gateway, request->content);
+        PeerGossip_GiveBackTrial(request->gateway, request->trial.content);
     }
     remember_target(&request->trial, NULL);
 }
--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -1,13 +1,14 @@
 /// @file wire_fuzz.c
 /// Fuzz target: inputs of the platform deployment. Covers objects of the
-/// store, engine reports, lease messages, crash records, event streams and log
-/// lines.
+/// store, engine reports, lease messages, crash records, lists of prompt
+/// parts, event streams and log lines.
 
 #include <stddef.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "call_codec.h"
 #include "catalog_codec.h"
 #include "dispatch/event_stream.h"
 #include "engine_codec.h"
@@ -95,6 +96,19 @@
     CmLeaseReply_Decode(&reply, text, size);
 }
 
+static void
+split_prompt(const char *text, size_t size)
+{
+    char *value = g_strndup(text, size);
+    struct cm_prompt_part parts[CM_PROMPT_PARTS_MAX];
+    size_t n = CmCallCodec_SplitPrompt(value, parts);
+    for (size_t i = 0; i < n; i++) {
+        char name[CM_CONTENT_SIZE];
+        CmContentName_ComposePart(name, parts[i].id, parts[i].length);
+    }
+    g_free(value);
+}
+
 static void
 feed_events(const char *text, size_t size)
 {
@@ -138,6 +152,7 @@
         json_decref(json);
     }
     decode_limit_message(text, size);
+    split_prompt(text, size);
     decode_leases(text, size);
     feed_events(text, size);
     explain_log(text, size);
