fix(quarantine): a clearance is dropped before the crashes that it clears

At the limit of 512 records the oldest one that supports no verdict goes first. A record that clears a bystander supports none, while the crashes it clears stay as long as they refuse another content. Without it they count again: the bystander is on trial, and a content that it is told apart from is no longer refused. Clearances of prompt parts make the limit likelier to be reached.

The last record that clears a content which kept crashes name stays now; superseded ones go first. quarantine_test "keeps clearances" fails without the change (the crashing content isn't refused, the bystander is suspected) and passes with it.

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -170,6 +170,48 @@
     g_hash_table_destroy(before);
 }
 
+static bool
+is_clearance(const struct cm_crash_record *record)
+{
+    return record->kind == CM_CRASH_RECORD_COMPLETED ||
+           record->kind == CM_CRASH_RECORD_LIFTED;
+}
+
+/// @return content to the last record that clears it.
+static GHashTable *
+collect_clearances(const struct cm_quarantine *quarantine)
+{
+    GHashTable *last = g_hash_table_new(g_str_hash, g_str_equal);
+    struct cm_crash_record *record;
+    CmTailq_FOREACH (record, &quarantine->records, link) {
+        for (size_t i = 0; is_clearance(record) && i < record->n_runs; i++) {
+            const char *content = record->runs[i].content;
+            const struct cm_crash_record *known =
+                g_hash_table_lookup(last, content);
+            if (known == NULL || CmTime_Before(known->at, record->at)) {
+                g_hash_table_replace(last, (void *)content, record);
+            }
+        }
+    }
+    return last;
+}
+
+/// @return whether the record is the last one that clears a content, whose
+/// crashes would count again without it.
+static bool
+clears_suspect(const struct cm_quarantine *quarantine,
+               const struct cm_crash_record *record, GHashTable *clearances)
+{
+    for (size_t i = 0; is_clearance(record) && i < record->n_runs; i++) {
+        const char *content = record->runs[i].content;
+        if (g_hash_table_contains(quarantine->counts, content) &&
+            g_hash_table_lookup(clearances, content) == record) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 supports_verdict(const struct cm_quarantine *quarantine,
                  const struct cm_crash_record *record)
@@ -188,11 +230,13 @@
 static void
 drop_oldest(struct cm_quarantine *quarantine)
 {
+    GHashTable *clearances = collect_clearances(quarantine);
     struct cm_crash_record *oldest = NULL;
     bool oldest_supports = false;
     struct cm_crash_record *record;
     CmTailq_FOREACH (record, &quarantine->records, link) {
-        bool supports = supports_verdict(quarantine, record);
+        bool supports = supports_verdict(quarantine, record) ||
+                        clears_suspect(quarantine, record, clearances);
         if (oldest == NULL || (oldest_supports && !supports) ||
             (oldest_supports == supports &&
              CmTime_Before(record->at, oldest->at))) {
@@ -200,6 +244,7 @@
             oldest_supports = supports;
         }
     }
+    g_hash_table_destroy(clearances);
     remove_record(quarantine, oldest);
 }
 
--- a/packages/quarantine/tests/quarantine_test.c
+++ b/packages/quarantine/tests/quarantine_test.c
@@ -311,6 +311,33 @@
     CmQuarantine_Finish(&quarantine);
 }
 
+/// Nor do they push out what clears a bystander of crashes that are kept.
+static void
+test_keeps_clearances(void)
+{
+    struct cm_manual_clock clock;
+    CmManualClock_Init(&clock);
+    CmManualClock_Advance(&clock, START_MS);
+    struct cm_quarantine quarantine;
+    CmQuarantine_Init(&quarantine, CRASHES, NULL, NULL);
+    const char *contents[] = {"p", "c"};
+    for (int i = 0; i < CRASHES; i++) {
+        char crash[2] = {(char)('a' + i), '\0'};
+        CmQuarantine_RecordCrash(&quarantine, crash, contents, 2, clock.now);
+    }
+    CmQuarantine_ClearSuspect(&quarantine, "c", clock.now);
+    for (int i = 0; i < CM_QUARANTINE_RECORDS_MAX + 50; i++) {
+        char name[CM_CONTENT_SIZE];
+        g_snprintf(name, sizeof(name), "other %d", i);
+        const char *other[] = {name};
+        CmManualClock_Advance(&clock, 1);
+        CmQuarantine_RecordCrash(&quarantine, name, other, 1, clock.now);
+    }
+    CU_ASSERT_TRUE(CmQuarantine_IsRefused(&quarantine, "p"));
+    CU_ASSERT_PTR_NULL(CmQuarantine_Find(&quarantine, "c"));
+    CmQuarantine_Finish(&quarantine);
+}
+
 /// Decisions as the listener saw them: '+' or '-' and the content.
 static void
 note_decision(void *context, const struct cm_suspect *suspect, bool refused)
@@ -411,6 +438,7 @@
     {"reports of agents", test_reports_of_agents},
     {"clears and expires", test_clears_and_expires},
     {"bounded", test_bounded},
+    {"keeps clearances", test_keeps_clearances},
     {"listener", test_listener},
     {"content names", test_content_names},
     {"part names", test_part_names},
