fix(quarantine): a trial whose target crashes late refuses a sound content

A trial decided however late in its run the target crashed.

A content crashes its target when it starts to run, so a crash after a second of a trial asks for the second one; a crash of both refuses. Silent targets are excepted, as the time of their crash is unknown.

--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -13,6 +13,11 @@
 /// processes learn each other's times by messages.
 #define OVERLAP_TOLERANCE_MS 5
 
+/// Time after which the crash of a trial is taken for one of another cause, as
+/// a content crashes a target when it starts to run. Only another trial
+/// decides then.
+#define LATE_TRIAL_MS 1000
+
 static void
 candidate_free(void *data)
 {
@@ -298,8 +303,17 @@
     return false;
 }
 
-/// @return whether a target crashed while the candidate was tried alone, and
-/// nothing else explains that.
+/// @return whether the target had run the content for long. When a silent
+/// target crashed is unknown; such a run isn't marked as late.
+static bool
+is_late_trial(const struct involvement *involvement)
+{
+    return involvement->weight == LATE_WEIGHT &&
+           CmTime_DiffMs(involvement->to, involvement->from) >= LATE_TRIAL_MS;
+}
+
+/// @return whether a target crashed soon after the candidate was sent alone,
+/// and nothing else explains that.
 static bool
 failed_trial(const struct evaluation *evaluation,
              const struct candidate *candidate)
@@ -307,7 +321,8 @@
     for (guint i = 0; i < candidate->involvements->len; i++) {
         const struct involvement *involvement =
             &g_array_index(candidate->involvements, struct involvement, i);
-        if (involvement->trial && !involvement->crash->explained &&
+        if (involvement->trial && !is_late_trial(involvement) &&
+            !involvement->crash->explained &&
             !CmCandidate_OthersCrashed(evaluation, candidate,
                                        involvement->to)) {
             return true;
