--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -12,6 +12,7 @@
 #include "dispatch/notices.h"
 #include "lease.h"
 #include "placement.h"
+#include "prompt_parts.h"
 #include "rate_limits.h"
 #include "responses.h"
 #include "successor.h"
@@ -55,6 +56,7 @@
     }
     CmEventStream_Finish(&request->events);
     CmCallCodec_FinishRequest(&request->parsed);
+    g_free(request->parts);
     CmCatalog_Unref(request->catalog);
     Request_TruncateExcluded(request, 0);
     event_free(request->attempt_timer);
@@ -262,6 +264,7 @@
     if (!TargetCall_Send(request, target)) {
         // The response of an earlier attempt is gone and can't be forwarded.
         request->last_end = CM_ATTEMPT_UNSENT;
+        TrialClaim_CountUnsent(request);
         Request_GiveUp(request, "no connection could be opened");
         return;
     }
@@ -300,6 +303,7 @@
             request->first_event_at = request->last_event_at;
             Request_CountLatency(request, LATENCY_FIRST_EVENT);
         }
+        PromptParts_CountEvents(request);
         Response_WriteEvents(request, events);
         Request_CountProgress(request);
         if (CmH1Conn_PendingOutput(&request->caller->conn) >
@@ -364,8 +368,6 @@
                 end == CM_ATTEMPT_LOST ? Request_Content(request) : "-");
     if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_REJECTED) {
         request->retry.runs--;
-    }
-    if (end == CM_ATTEMPT_UNSENT) {
         TrialClaim_CountUnsent(request);
     }
     // A target that asks for a pause has not failed.
@@ -421,6 +423,7 @@
         CmTarget_CountAnswer(request->attempt.target, false,
                              Gateway_Now(request->gateway));
         CrashWatch_CountCompleted(request);
+        PromptParts_CountCompleted(request);
         if (request->route->stream) {
             Response_EndStream(request);
         }
@@ -611,7 +614,8 @@
         return;
     }
     if (CrashWatch_Refuses(request)) {
-        Response_SendLocal(request, STATUS_UNAVAILABLE, CRASH_WATCH_REASON);
+        Response_SendLocal(request, STATUS_UNAVAILABLE,
+                           CrashWatch_Reason(request));
         return;
     }
     count_demand(request);
