fix(programs): keep signals pending until their handlers are installed

A SIGHUP, SIGTERM or SIGINT that arrived before the libevent handlers stood ended the process by its default action; entry and agent of the older path had no handler for SIGHUP at all.

main() blocks the three signals in its first line, and each program unblocks them once its handlers are installed. A pending SIGHUP then reads the settings again, a pending SIGTERM or SIGINT starts the planned shutdown. Commands that install no handlers unblock them before they run. Entry and agent log a SIGHUP, as the slot agent does. ZeroMQ masks its threads itself, and no program starts a child process.

--- a/packages/config/include/config/program.h
+++ b/packages/config/include/config/program.h
@@ -22,8 +22,18 @@
     int (*run)(void *state);
 };
 
+/// Blocks SIGHUP, SIGINT and SIGTERM, whose default action ends the process.
+/// To be called first in main(); signals that arrive from then on stay pending
+/// until CmProgram_ReleaseSignals().
+void
+CmProgram_HoldSignals(void);
+
+/// Delivers pending signals, once their handlers are installed.
+void
+CmProgram_ReleaseSignals(void);
+
 /// Reads the file at `path` into `settings` and runs the program with
-/// `state`.
+/// `state`, which calls CmProgram_ReleaseSignals().
 /// @return the exit code of the process; 1 if the settings are invalid.
 int
 CmProgram_Start(const struct cm_program *program, const char *path,
--- a/packages/config/src/program.c
+++ b/packages/config/src/program.c
@@ -14,6 +14,29 @@
 #define SETTINGS_VARIABLE "CORIANDERMOOR_BOOT"
 #define NS_PER_S 1000000000LL
 
+static void
+change_mask(int how)
+{
+    sigset_t held;
+    sigemptyset(&held);
+    sigaddset(&held, SIGHUP);
+    sigaddset(&held, SIGINT);
+    sigaddset(&held, SIGTERM);
+    sigprocmask(how, &held, NULL);
+}
+
+void
+CmProgram_HoldSignals(void)
+{
+    change_mask(SIG_BLOCK);
+}
+
+void
+CmProgram_ReleaseSignals(void)
+{
+    change_mask(SIG_UNBLOCK);
+}
+
 static int
 read_and_run(const struct cm_program *program, const char *path,
              const char *text, size_t size, void *settings, void *state)
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -216,6 +216,7 @@
     struct event *report_event;
     struct event *sigterm_event;
     struct event *sigint_event;
+    struct event *sighup_event;
     struct cm_counters counters;
     struct agent_counters count;
 };
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -217,6 +217,13 @@
     Peers_ReportAll(agent);
 }
 
+static void
+on_reload_signal(evutil_socket_t fd, short what, void *context)
+{
+    CmLog_Event(G_LOG_LEVEL_INFO, "agent", NULL,
+                "SIGHUP ignored: changed settings apply after a restart");
+}
+
 static void
 init_events(struct agent *agent)
 {
@@ -226,10 +233,13 @@
     agent->tick_event = event_new(base, -1, EV_PERSIST, on_tick, agent);
     agent->sigterm_event = evsignal_new(base, SIGTERM, on_stop_signal, agent);
     agent->sigint_event = evsignal_new(base, SIGINT, on_stop_signal, agent);
+    agent->sighup_event = evsignal_new(base, SIGHUP, on_reload_signal, agent);
     struct timeval tick = CmTime_Timeval(TICK_MS);
     event_add(agent->tick_event, &tick);
     event_add(agent->sigterm_event, NULL);
     event_add(agent->sigint_event, NULL);
+    event_add(agent->sighup_event, NULL);
+    CmProgram_ReleaseSignals();
 }
 
 static bool
@@ -288,6 +298,7 @@
     event_free(agent->tick_event);
     event_free(agent->sigterm_event);
     event_free(agent->sigint_event);
+    event_free(agent->sighup_event);
     zmq_ctx_term(agent->zmq);
     event_base_free(agent->base);
 }
@@ -332,6 +343,7 @@
 int
 main(int argc, char **argv)
 {
+    CmProgram_HoldSignals();
     if (argc > 1 && strcmp(argv[1], "slots") == 0) {
         return Slots_Main(argc - 1, argv + 1);
     }
--- a/programs/coriandermoor-agent/slots/slots_main.c
+++ b/programs/coriandermoor-agent/slots/slots_main.c
@@ -86,6 +86,7 @@
     slots->sigterm = add_signal(slots, SIGTERM, on_stop_signal);
     slots->sigint = add_signal(slots, SIGINT, on_stop_signal);
     slots->sighup = add_signal(slots, SIGHUP, on_sighup);
+    CmProgram_ReleaseSignals();
     slots->sweep_timer =
         event_new(slots->base, -1, EV_PERSIST, on_sweep_timer, slots);
     struct timeval sweep = CmTime_Timeval(SWEEP_INTERVAL_MS);
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -196,6 +196,7 @@
     struct event *tick_timer;
     struct event *sigterm_event;
     struct event *sigint_event;
+    struct event *sighup_event;
     struct cm_counters counters;
     struct entry_counters count;
 };
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -175,6 +175,13 @@
     entry->shutdown_started_at = Entry_Now(entry);
 }
 
+static void
+on_reload_signal(evutil_socket_t fd, short what, void *context)
+{
+    CmLog_Event(G_LOG_LEVEL_INFO, "entry", NULL,
+                "SIGHUP ignored: changed settings apply after a restart");
+}
+
 static void
 init_events(struct entry *entry)
 {
@@ -184,10 +191,14 @@
         evsignal_new(entry->base, SIGTERM, begin_shutdown, entry);
     entry->sigint_event =
         evsignal_new(entry->base, SIGINT, begin_shutdown, entry);
+    entry->sighup_event =
+        evsignal_new(entry->base, SIGHUP, on_reload_signal, entry);
     struct timeval tick = CmTime_Timeval(TICK_MS);
     event_add(entry->tick_timer, &tick);
     event_add(entry->sigterm_event, NULL);
     event_add(entry->sigint_event, NULL);
+    event_add(entry->sighup_event, NULL);
+    CmProgram_ReleaseSignals();
 }
 
 static void
@@ -253,6 +264,7 @@
     event_free(entry->tick_timer);
     event_free(entry->sigterm_event);
     event_free(entry->sigint_event);
+    event_free(entry->sighup_event);
     zmq_ctx_term(entry->zmq);
     g_rand_free(entry->random);
     event_base_free(entry->base);
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -227,6 +227,7 @@
     event_add(gateway->sigterm, NULL);
     event_add(gateway->sigint, NULL);
     event_add(gateway->sighup, NULL);
+    CmProgram_ReleaseSignals();
 }
 
 static void
--- a/programs/coriandermoor/main.c
+++ b/programs/coriandermoor/main.c
@@ -1,26 +1,31 @@
 /// @file main.c
 /// Main program `coriandermoor`: runs one of its subcommands.
 
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "commands.h"
+#include "config/program.h"
 #include "entry_main.h"
 
 static const struct {
     const char *name;
     int (*run)(int argc, char **argv);
     const char *help;
+    bool serves; ///< installs signal handlers
 } commands[] = {
-    {"entry", Command_Entry, "serve callers and operators"},
-    {"gateway", Command_Gateway, "serve callers of the platform deployment"},
-    {"check", Command_Check,
-     "validate a configuration and print its findings"},
-    {"explain", Command_Explain, "print the timeline of a request from logs"},
-    {"apply", Command_Apply, "submit a configuration"},
-    {"show", Command_Show, "print the configuration in force"},
-    {"status", Command_Status, "print the state of the fleet"},
+    {"entry", Command_Entry, "serve callers and operators", true},
+    {"gateway", Command_Gateway, "serve callers of the platform deployment",
+     true},
+    {"check", Command_Check, "validate a configuration and print its findings",
+     false},
+    {"explain", Command_Explain, "print the timeline of a request from logs",
+     false},
+    {"apply", Command_Apply, "submit a configuration", false},
+    {"show", Command_Show, "print the configuration in force", false},
+    {"status", Command_Status, "print the state of the fleet", false},
 };
 
 #define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
@@ -42,6 +47,7 @@
 int
 main(int argc, char **argv)
 {
+    CmProgram_HoldSignals();
     if (argc < 2) {
         return print_usage(stderr, CM_EXIT_USAGE);
     }
@@ -54,6 +60,9 @@
     }
     for (size_t i = 0; i < N_COMMANDS; i++) {
         if (strcmp(argv[1], commands[i].name) == 0) {
+            if (!commands[i].serves) {
+                CmProgram_ReleaseSignals();
+            }
             return commands[i].run(argc - 1, argv + 1);
         }
     }
