fix(quarantine): give back a trial that its target rejected

A trial whose target answered 421, or 503 with X-Not-Executed, was neither used again nor given back: the retry was refused with "its trial has ended", and for 20 s all gateways said "another copy of it is tried". The same held for a trial whose request was refused after the claim, as the budget of repeats was spent or no connection could be opened.

A rejected trial is given back, and the request claims another one for its next target. The platform counts sends of a content later than 3 s after its third crash, and a rejected one may be among them; so later than 3 s after the last crash only the first rejected trial is replaced (CmTrial_IsReplaceable). The two other ends keep the trial, as an unsent attempt does.

--- a/packages/quarantine/include/quarantine/trial.h
+++ b/packages/quarantine/include/quarantine/trial.h
@@ -14,8 +14,10 @@
 
 /// Trials of one content between two completed runs. The platform allows three
 /// more sends after the third crash; one is left for two gateways that choose
-/// different arbiters.
+/// different arbiters, or for a target that rejects a trial.
 #define CM_TRIALS_MAX 2
+/// Late grants up to which a rejected trial is replaced.
+#define CM_TRIAL_REPLACED_GRANTS_MAX 1
 /// Time after which a trial that showed nothing ends. Covers the start of the
 /// next incarnation of a target that fell silent.
 #define CM_TRIAL_TIMEOUT_MS 20000
@@ -50,6 +52,13 @@
 CmTrial_GiveBack(struct cm_gossip *gossip, const char *content,
                  struct timespec now);
 
+/// @return whether a trial that its target rejected without running it may be
+///         given back, for another one. The platform counts rejected sends,
+///         too, but none within CM_CONTACT_MS of a crash, as targets that have
+///         just started reject what was meant for their predecessors.
+bool
+CmTrial_IsReplaceable(const struct cm_suspect *suspect);
+
 /// Composes a claim to the arbiter, into an initialized message. The arbiter
 /// answers by CmGossip_Answer().
 void
--- a/packages/quarantine/include/quarantine/verdict.h
+++ b/packages/quarantine/include/quarantine/verdict.h
@@ -27,6 +27,10 @@
 /// Weight of a crash that nothing else explains.
 #define CM_VERDICT_CRASH_WEIGHT 2
 
+/// Time after a crash in which the platform counts no sends, as gateways can't
+/// know of it yet.
+#define CM_CONTACT_MS 3000
+
 /// A content that crashes cut off and that has not completed since.
 struct cm_suspect {
     char content[CM_CONTENT_SIZE];
@@ -35,6 +39,8 @@
     bool refused;
     bool on_trial;     ///< not refused, but may only be run alone
     int trials;        ///< granted and used since it last completed
+    int late_grants;   ///< of trials, CM_CONTACT_MS after the last crash or
+                       ///< later, with those that were given back
     int trial_crashes; ///< trials whose target crashed
     struct timespec last_trial;
     struct timespec last_crash;
--- a/packages/quarantine/src/trial.c
+++ b/packages/quarantine/src/trial.c
@@ -61,6 +61,13 @@
     CmGossip_Observe(gossip, record, now);
 }
 
+bool
+CmTrial_IsReplaceable(const struct cm_suspect *suspect)
+{
+    return suspect != NULL &&
+           suspect->late_grants <= CM_TRIAL_REPLACED_GRANTS_MAX;
+}
+
 void
 CmTrial_ComposeClaim(struct cm_gossip *gossip, const char *content,
                      uint64_t claim_id, struct cm_exchange *claim)
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -198,6 +198,9 @@
         if (suspect != NULL &&
             !is_superseded(evaluation->cleared, content, record->at)) {
             suspect->trials += granted ? 1 : -1;
+            suspect->late_grants +=
+                granted && CmTime_DiffMs(record->at, suspect->last_crash) >=
+                               CM_CONTACT_MS;
             if (granted && CmTime_Before(suspect->last_trial, record->at)) {
                 suspect->last_trial = record->at;
             }
--- a/packages/quarantine/tests/trial_test.c
+++ b/packages/quarantine/tests/trial_test.c
@@ -72,6 +72,22 @@
     return record;
 }
 
+/// Has the first gateway observe records, one each second.
+static void
+observe_records(struct sim_fleet *fleet, const char *records)
+{
+    struct cm_gossip *gossip = &fleet->gateways[0].gossip;
+    for (int i = 0; records[i] != '\0'; i++) {
+        CmManualClock_Advance(&fleet->clock, 1000);
+        if (records[i] == 'F') {
+            struct cm_crash_run other = {.content = "b"};
+            SimFleet_Observe(fleet, 0, "another target", &other);
+        }
+        CmGossip_Observe(gossip, make_record(records[i], i, fleet->clock.now),
+                         fleet->clock.now);
+    }
+}
+
 static void
 test_decisions(void)
 {
@@ -79,17 +95,7 @@
         struct sim_links links = {0};
         struct sim_fleet *fleet = SimFleet_New(&links, 1, 1);
         struct cm_gossip *gossip = &fleet->gateways[0].gossip;
-        for (int j = 0; decisions[i].records[j] != '\0'; j++) {
-            CmManualClock_Advance(&fleet->clock, 1000);
-            if (decisions[i].records[j] == 'F') {
-                struct cm_crash_run other = {.content = "b"};
-                SimFleet_Observe(fleet, 0, "another target", &other);
-            }
-            CmGossip_Observe(
-                gossip,
-                make_record(decisions[i].records[j], j, fleet->clock.now),
-                fleet->clock.now);
-        }
+        observe_records(fleet, decisions[i].records);
         CmManualClock_Advance(&fleet->clock, decisions[i].later_ms);
         struct timespec now = fleet->clock.now;
         enum cm_trial_step step =
@@ -107,6 +113,35 @@
     }
 }
 
+/// Whether a trial that its target rejected may be replaced.
+static void
+test_rejected(void)
+{
+    static const struct {
+        const char *records;
+        bool replaceable;
+    } cases[] = {
+        {"", false},
+        {"xxxt", true},
+        {"xxxtut", true},
+        {"xxxtutut", false},
+        {"xxxtututut", false},
+        {"xxxtututxt", true},
+        {"xxxtututcxxxt", true},
+        {"xxxtututl", false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct sim_links links = {0};
+        struct sim_fleet *fleet = SimFleet_New(&links, 1, 1);
+        struct cm_gossip *gossip = &fleet->gateways[0].gossip;
+        observe_records(fleet, cases[i].records);
+        CU_ASSERT_EQUAL(
+            CmTrial_IsReplaceable(CmQuarantine_Find(gossip->quarantine, "p")),
+            cases[i].replaceable);
+        SimFleet_Free(fleet);
+    }
+}
+
 /// All gateways choose the same arbiter, a seed; another one if it fails.
 static void
 test_arbiter(void)
@@ -525,6 +560,7 @@
 
 static const struct cm_test tests[] = {
     {"decisions", test_decisions},
+    {"rejected trials", test_rejected},
     {"arbiter", test_arbiter},
     {"copies at once", test_copies_at_once},
     {"rack ends a sound content", test_rack_ends_sound_content},
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -206,6 +206,7 @@
         struct cm_retry_window *window =
             Gateway_RetryWindow(request->gateway, request->service);
         if (!CmRetryWindow_Consume(window, now)) {
+            TrialClaim_CountUnsent(request);
             Request_GiveUp(request, "the budget of repeats is spent");
             return;
         }
@@ -214,6 +215,7 @@
     if (!TargetCall_Send(request, target)) {
         // The response of an earlier attempt is gone and can't be forwarded.
         request->last_end = CM_ATTEMPT_UNSENT;
+        TrialClaim_CountUnsent(request);
         Request_GiveUp(request, "no connection could be opened");
         return;
     }
@@ -313,6 +315,9 @@
     if (end == CM_ATTEMPT_UNSENT) {
         TrialClaim_CountUnsent(request);
     }
+    else if (end == CM_ATTEMPT_REJECTED) {
+        TrialClaim_CountRejected(request);
+    }
     if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST) {
         CmTarget_CountLost(target, now);
     }
--- a/programs/coriandermoor/gateway/trial_claim.c
+++ b/programs/coriandermoor/gateway/trial_claim.c
@@ -160,6 +160,23 @@
     trial->running = false;
 }
 
+void
+TrialClaim_CountRejected(struct request *request)
+{
+    struct trial *trial = &request->trial;
+    if (!trial->running ||
+        !CmTrial_IsReplaceable(CrashWatch_Suspect(request))) {
+        return;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "quarantine", request->parsed.id,
+                "content %s did not run, its trial is given back",
+                Request_Content(request));
+    PeerGossip_GiveBackTrial(request->gateway, Request_Content(request));
+    trial->running = false;
+    trial->claim_id = 0;
+    trial->give_up_at = (struct timespec){0};
+}
+
 void
 TrialClaim_Finish(struct request *request)
 {
--- a/programs/coriandermoor/gateway/trial_claim.h
+++ b/programs/coriandermoor/gateway/trial_claim.h
@@ -33,6 +33,11 @@
 void
 TrialClaim_CountUnsent(struct request *request);
 
+/// Gives back the trial of an attempt that its target rejected without running
+/// it, if it may be replaced. The next attempt claims another one.
+void
+TrialClaim_CountRejected(struct request *request);
+
 /// Ends the wait of a request that is freed, and gives back its unused trial.
 void
 TrialClaim_Finish(struct request *request);
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -237,6 +237,7 @@
         self.crash_in_stream = False  # engines stream events until then
         self.crashing_runs = []    # [id, body, time of start] of such runs
         self.server_limit = None  # requests a second, named in responses
+        self.rejections = {}  # body to statuses of rejections before its run
         self.arrivals = []        # [id, incarnation, time] of all requests
         self.limits_told = []     # [id, incarnation, time, limit] of responses
         self.limits_ended = []    # times at which it stopped to name a limit
@@ -346,6 +347,12 @@
                                      self.server_limit))
         return result
 
+    def not_executed(self, headers, status):
+        """Response that says that the target did not run the request."""
+        response_headers = self.response_headers(headers)
+        response_headers["X-Not-Executed"] = "1"
+        return Response(status, response_headers)
+
 
 class Plain(Target):
     """A plain target; its response repeats method, path and body length."""
@@ -359,6 +366,8 @@
             return mismatch
         if target == "/health":
             return Response(200, {"X-Instance-Id": self.id})
+        if self.rejections.get(body):
+            return self.not_executed(headers, self.rejections[body].pop())
         self.record_run(headers, target)
         if await self.crash_by(headers, body):
             return await self.end_of_crashed_run()
@@ -501,12 +510,6 @@
         if incarnation == self.id and self.loading_adapters.pop(adapter, None):
             self.adapters[adapter] = version
 
-    def not_executed(self, headers, status):
-        """Response that says that the engine did not run the request."""
-        response_headers = self.response_headers(headers)
-        response_headers["X-Not-Executed"] = "1"
-        return Response(status, response_headers)
-
     async def run_request(self, target, headers, body):
         self.record_arrival(headers)
         model, _, adapter = headers.get("x-model", "").partition("/")
