fix(gateway): recognize a target that restarts under its old id

on_target() compared the target before and after CmTargets_Update() by its pointer. Such a start was not counted by crash_watch.c, not logged, and the engine kept the model_missing_since of its former incarnation.

CmTargets_Update() says whether it has added the target. The new lines of pick_test do not compile before, as the field is missing; under the sanitizers, which do not reuse freed memory at once, the comparison of pointers can't fail.

--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -65,6 +65,7 @@
     bool has_model;
     /// When it was added, or last known without its model.
     struct timespec model_missing_since;
+    bool is_new;          ///< its last update has added it
     bool model_requested; ///< a load request to its agent is pending
     bool listed;          ///< found in the list that is being read
     int64_t max_requests;
--- a/packages/dispatch/include/dispatch/targets.h
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -17,7 +17,8 @@
 void
 CmTargets_Finish(struct cm_targets *targets);
 
-/// Adds or updates a target that the platform's list contains.
+/// Adds or updates a target that the platform's list contains. A target that
+/// has started again under its id is added as a new one.
 /// @return the target, or NULL if a newer one has taken its address.
 struct cm_live_target *
 CmTargets_Update(struct cm_targets *targets,
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -169,10 +169,12 @@
         }
         return NULL;
     }
-    if (target == NULL) {
+    bool is_new = target == NULL;
+    if (is_new) {
         target = add_target(targets, info);
         remove_predecessors(targets, target);
     }
+    target->is_new = is_new;
     target->same_zone = strcmp(info->zone, targets->zone) == 0;
     // Draining is final: a draining engine gets no new work any more.
     target->draining = target->draining || info->draining;
--- a/packages/dispatch/tests/pick_test.c
+++ b/packages/dispatch/tests/pick_test.c
@@ -495,8 +495,13 @@
     info.started_ms = 6;
     struct cm_live_target *second = CmTargets_Update(&targets, &info);
     CU_ASSERT_PTR_NOT_EQUAL(first, second);
+    CU_ASSERT(second->is_new);
+    CU_ASSERT_FALSE(CmTargets_Update(&targets, &info)->is_new);
     CU_ASSERT(first->removed);
     CmTarget_Unref(first);
+    // Without other references, the memory of the former one may be reused.
+    info.started_ms = 7;
+    CU_ASSERT(CmTargets_Update(&targets, &info)->is_new);
     info.id = "e1";
     info.address = "10.0.0.2:80";
     CmTargets_Update(&targets, &info);
--- a/programs/coriandermoor/gateway/store_watches.c
+++ b/programs/coriandermoor/gateway/store_watches.c
@@ -179,7 +179,7 @@
     if (target == NULL) {
         return;
     }
-    if (known != target) {
+    if (target->is_new) {
         CrashWatch_CountStart(gateway, target);
         target->model_missing_since = Gateway_Now(gateway);
         CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
