fix(agent): keep the last good report of an engine after a bad one

handle_report() cleared model, runs and the marks of adapters before it knew whether the report is valid. After one bad report every lease was answered "down" until the next good one, and the gateways took the engine for one without its model.

They are cleared by a callback that CmEngineCodec_DecodeReport() calls once the report is known to be valid.

--- a/programs/coriandermoor-agent/slots/engine.c
+++ b/programs/coriandermoor-agent/slots/engine.c
@@ -101,8 +101,18 @@
     g_hash_table_replace(slots->engine.runs, g_strdup(request), run);
 }
 
+/// Forgets the items of the last report.
+static void
+on_report(void *context)
+{
+    struct slots *slots = context;
+    slots->engine.has_model = false;
+    g_hash_table_remove_all(slots->engine.runs);
+    CmResidency_BeginReport(&slots->residency);
+}
+
 static const struct cm_engine_report_handler report_handler = {
-    on_model, on_adapter, on_run};
+    on_model, on_adapter, on_run, on_report};
 
 static void
 handle_call_failure(struct slots *slots, const char *reason)
@@ -125,9 +135,6 @@
     json_t *report_json =
         json_loadb(engine->body->str, engine->body->len, 0, NULL);
     int64_t started_ms = engine->report.started_ms;
-    engine->has_model = false;
-    g_hash_table_remove_all(engine->runs);
-    CmResidency_BeginReport(&slots->residency);
     bool valid = engine->status == STATUS_OK &&
                  CmEngineCodec_DecodeReport(report_json, &engine->report,
                                             &report_handler, slots);
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -411,6 +411,8 @@
         # If not 0, each stream is cut after this number of events.
         self.cut_after_events = 0
         self.event_padding_bytes = 0  # added to the data of each event
+        self.spoilt_reports = False  # every second report is an error
+        self.report_count = 0
 
     async def start(self, model=True):
         self.models = [self.MODEL] if model else []
@@ -446,6 +448,9 @@
 
     async def handle(self, method, target, headers, body, writer):
         if target == "/report":
+            self.report_count += 1
+            if self.spoilt_reports and self.report_count % 2 == 0:
+                return Response(500)
             return Store.json_response(self.report())
         mismatch = self.check_instance(headers)
         if mismatch is not None:
