fix(gateway): apply a reloaded retry ratio to existing retry windows

The retry window of a service was created with the ratio of that moment, and a reload only changed the settings and the log line. Gateway_RetryWindow() sets the ratio with each use, as it does with the reserve.

--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -99,6 +99,7 @@
                            (int64_t)(settings->retry_window_s * MS_PER_S));
         g_hash_table_insert(gateway->retry_windows, g_strdup(service), window);
     }
+    window->ratio = settings->retry_ratio;
     // One more than the known number, as another gateway may be starting.
     window->reserve =
         settings->retry_reserve / (double)(gateway->n_gateways + 1);
