fix(gateway): check the status of a model-load reply

on_model_end() decoded the body of any complete reply, so that an error with a body as of a success made the gateway send requests to an engine without its base model. Replies count only with status 200, as those to lease requests do.

--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -251,6 +251,7 @@
     struct cm_h1_call call;
     struct event *timer;
     struct cm_live_target *target;
+    int status;
     GString *body;
 };
 
@@ -266,6 +267,14 @@
     g_free(load);
 }
 
+static bool
+on_model_head(void *context, const struct cm_h1_head *head)
+{
+    struct model_load_call *load = context;
+    load->status = head->status;
+    return true;
+}
+
 static void
 on_model_body(void *context, const void *data, size_t size)
 {
@@ -278,7 +287,7 @@
 {
     struct model_load_call *load = context;
     struct cm_lease_reply reply;
-    if (end == CM_H1_CALL_COMPLETE &&
+    if (end == CM_H1_CALL_COMPLETE && load->status == STATUS_OK &&
         CmLeaseReply_Decode(&reply, load->body->str, load->body->len) &&
         reply.outcome == CM_LEASE_OUTCOME_HELD) {
         CmLog_Event(G_LOG_LEVEL_INFO, "targets", NULL,
@@ -296,7 +305,7 @@
 }
 
 static const struct cm_h1_call_handler model_handler = {
-    accept_head, on_model_body, on_model_end};
+    on_model_head, on_model_body, on_model_end};
 
 void
 Lease_LoadBaseModel(struct gateway *gateway, struct cm_live_target *target,
