--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -368,8 +368,13 @@
                 end == CM_ATTEMPT_LOST ? Request_Content(request) : "-");
     if (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_REJECTED) {
         request->retry.runs--;
+    }
+    if (end == CM_ATTEMPT_UNSENT) {
         TrialClaim_CountUnsent(request);
     }
+    else if (end == CM_ATTEMPT_REJECTED) {
+        TrialClaim_CountRejected(request);
+    }
     // A target that asks for a pause has not failed.
     if (!request->attempt.response.has_pause &&
         (end == CM_ATTEMPT_UNSENT || end == CM_ATTEMPT_LOST)) {
--- a/programs/coriandermoor/gateway/trial_claim.c
+++ b/programs/coriandermoor/gateway/trial_claim.c
@@ -182,6 +182,22 @@
     trial->running = false;
 }
 
+void
+TrialClaim_CountRejected(struct request *request)
+{
+    struct trial *trial = &request->trial;
+    if (!trial->running ||
+        !CmTrial_IsReplaceable(CrashWatch_Suspect(request))) {
+        return;
+    }
+    CmLog_Event(G_LOG_LEVEL_INFO, "quarantine", request->parsed.id,
+                "%s did not run, its trial is given back", trial->content);
+    PeerGossip_GiveBackTrial(request->gateway, trial->content);
+    trial->running = false;
+    trial->claim_id = 0;
+    trial->give_up_at = (struct timespec){0};
+}
+
 void
 TrialClaim_Finish(struct request *request)
 {
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -260,6 +260,7 @@
         self.crash_in_stream = False  # engines stream events until then
         self.crashing_runs = []    # [id, body or part, time of their start]
         self.server_limit = None  # requests a second, named in responses
+        self.rejections = {}  # body to statuses of rejections before its run
         self.arrivals = []        # [id, incarnation, time] of all requests
         self.limits_told = []     # [id, incarnation, time, limit] of responses
         self.limits_ended = []    # times at which it stopped to name a limit
@@ -415,6 +416,12 @@
                                      self.server_limit))
         return result
 
+    def not_executed(self, headers, status):
+        """Response that says that the target did not run the request."""
+        response_headers = self.response_headers(headers)
+        response_headers["X-Not-Executed"] = "1"
+        return self.finish(headers, Response(status, response_headers))
+
 
 class Plain(Target):
     """A plain target; its response repeats method, path and body length."""
@@ -431,6 +438,8 @@
         refusal = self.turn_away(headers)
         if refusal is not None:
             return refusal
+        if self.rejections.get(body):
+            return self.not_executed(headers, self.rejections[body].pop())
         self.record_run(headers, target)
         if await self.crash_by(headers, body):
             return await self.end_of_crashed_run()
@@ -478,6 +487,8 @@
         # one, sent at once and without a length.
         self.cut_inside_event = 0
         self.event_padding_bytes = 0  # added to the data of each event
+        self.spoilt_reports = False  # every second report is an error
+        self.report_count = 0
 
     async def start(self, model=True):
         self.models = [self.MODEL] if model else []
@@ -513,6 +524,9 @@
 
     async def handle(self, method, target, headers, body, writer):
         if target == "/report":
+            self.report_count += 1
+            if self.spoilt_reports and self.report_count % 2 == 0:
+                return Response(500)
             return Store.json_response(self.report())
         mismatch = self.check_instance(headers)
         if mismatch is not None:
@@ -577,12 +591,6 @@
         if incarnation == self.id and self.loading_adapters.pop(adapter, None):
             self.adapters[adapter] = version
 
-    def not_executed(self, headers, status):
-        """Response that says that the engine did not run the request."""
-        response_headers = self.response_headers(headers)
-        response_headers["X-Not-Executed"] = "1"
-        return self.finish(headers, Response(status, response_headers))
-
     async def run_request(self, target, headers, body):
         self.record_arrival(headers)
         refusal = self.turn_away(headers)
