test(fuzz): heads of targets' responses

Cause: the wire fuzz target did not reach the decoder of response headers.

Change: an input's lines are also read as header fields of a response of status 503; a negative pause, or one that isn't marked as present, is a failure.

--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -1,13 +1,14 @@
 /// @file wire_fuzz.c
 /// Fuzz target: inputs of the platform deployment. Covers objects of the
-/// store, engine reports, lease messages, crash records, event streams and log
-/// lines.
+/// store, engine reports, heads of responses, lease messages, crash records,
+/// event streams and log lines.
 
 #include <stddef.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "call_codec.h"
 #include "catalog_codec.h"
 #include "dispatch/event_stream.h"
 #include "engine_codec.h"
@@ -84,6 +85,43 @@
     CmEngineCodec_DecodeReport(json, &report, &handler, NULL);
 }
 
+#define STATUS_UNAVAILABLE 503
+
+/// Decodes lines "NAME:VALUE" as the header fields of a target's response.
+static void
+decode_response_head(const char *text, size_t size)
+{
+    struct cm_h1_head head = {
+        .status = STATUS_UNAVAILABLE,
+        .text = g_string_new(NULL),
+        .fields = g_array_new(FALSE, FALSE, sizeof(struct cm_h1_field)),
+    };
+    char *copy = g_strndup(text, size);
+    char **lines = g_strsplit(copy, "\n", -1);
+    for (char **line = lines; *line != NULL; line++) {
+        char *value = strchr(*line, ':');
+        if (value == NULL) {
+            continue;
+        }
+        *value++ = '\0';
+        struct cm_h1_field field = {.name = (uint32_t)head.text->len};
+        g_string_append_len(head.text, *line, (gssize)strlen(*line) + 1);
+        field.value = (uint32_t)head.text->len;
+        g_string_append_len(head.text, value, (gssize)strlen(value) + 1);
+        g_array_append_val(head.fields, field);
+    }
+    struct cm_target_response response;
+    if (CmCallCodec_DecodeResponse(&head, "id1", &response) &&
+        (response.pause_ms < 0 ||
+         (response.pause_ms > 0 && !response.has_pause))) {
+        abort();
+    }
+    g_strfreev(lines);
+    g_free(copy);
+    g_array_free(head.fields, TRUE);
+    g_string_free(head.text, TRUE);
+}
+
 static void
 decode_leases(const char *text, size_t size)
 {
@@ -138,6 +176,7 @@
         json_decref(json);
     }
     decode_limit_message(text, size);
+    decode_response_head(text, size);
     decode_leases(text, size);
     feed_events(text, size);
     explain_log(text, size);
