fix(gateway): a target may leave before it is listed

Cause: a response of status 421 comes from another incarnation than the intended one. If the store had not listed that one yet, its Server-Leaving was dropped, and it got requests as soon as it was listed.

Change: the notice is kept under the id that the response names, and the next entry of that id gets it; a later start under the same id is not bound.

--- a/packages/dispatch/include/dispatch/notices.h
+++ b/packages/dispatch/include/dispatch/notices.h
@@ -29,6 +29,13 @@
 CmNotices_AddLeaving(struct cm_targets *targets, struct cm_live_target *target,
                      struct timespec now);
 
+/// The same for a target of which only the id is known, as it may not be
+/// listed yet. Then the next entry of that id gets the notice.
+/// @return whether that is new.
+bool
+CmNotices_AddLeavingById(struct cm_targets *targets, const char *id,
+                         struct timespec now);
+
 /// Records that a target wants no requests for a while. Of several pauses the
 /// one that ends last counts.
 /// @param draw random number from 0 to 1, so that gateways don't all return at
--- a/packages/dispatch/include/dispatch/target_defs.h
+++ b/packages/dispatch/include/dispatch/target_defs.h
@@ -54,6 +54,7 @@
     char *id;
     char *incarnation;             ///< id and start, the key in the table
     bool leaving;                  ///< it ends soon; is never withdrawn
+    bool listed;                   ///< it has had an entry in the table
     struct timespec leaving_since; ///< when it was first heard
     bool gone;                     ///< its end has been noticed
     struct timespec paused_until;  ///< it wants no requests before
--- a/packages/dispatch/src/notices.c
+++ b/packages/dispatch/src/notices.c
@@ -50,6 +50,24 @@
     g_hash_table_destroy(targets->notices);
 }
 
+/// @return the notice kept under the id of a target that was not listed yet,
+/// which becomes that of its incarnation, or NULL.
+static struct cm_notice *
+take_unlisted(const struct cm_targets *targets,
+              const struct cm_live_target *target)
+{
+    struct cm_notice *notice =
+        g_hash_table_lookup(targets->notices, target->id);
+    if (notice != NULL) {
+        g_rc_box_acquire(notice);
+        g_hash_table_remove(targets->notices, target->id);
+        g_free(notice->incarnation);
+        notice->incarnation = incarnation_key(target);
+        g_hash_table_insert(targets->notices, notice->incarnation, notice);
+    }
+    return notice;
+}
+
 void
 CmNotices_Attach(const struct cm_targets *targets,
                  struct cm_live_target *target)
@@ -60,8 +78,14 @@
     char *incarnation = incarnation_key(target);
     struct cm_notice *notice =
         g_hash_table_lookup(targets->notices, incarnation);
-    target->notice = notice != NULL ? g_rc_box_acquire(notice) : NULL;
     g_free(incarnation);
+    if (notice == NULL) {
+        notice = take_unlisted(targets, target);
+    }
+    if (notice != NULL) {
+        target->notice = g_rc_box_acquire(notice);
+        notice->listed = true;
+    }
 }
 
 void
@@ -90,6 +114,7 @@
     if (target->notice == NULL) {
         target->notice = g_rc_box_new0(struct cm_notice);
         target->notice->id = g_strdup(target->id);
+        target->notice->listed = true;
         target->notice->incarnation = incarnation_key(target);
         g_hash_table_insert(targets->notices, target->notice->incarnation,
                             g_rc_box_acquire(target->notice));
@@ -138,6 +163,27 @@
     return begins;
 }
 
+bool
+CmNotices_AddLeavingById(struct cm_targets *targets, const char *id,
+                         struct timespec now)
+{
+    struct cm_live_target *target = CmTargets_Find(targets, id);
+    if (target != NULL) {
+        return CmNotices_AddLeaving(targets, target, now);
+    }
+    bool known = g_hash_table_contains(targets->notices, id);
+    if (!known) {
+        struct cm_notice *notice = g_rc_box_new0(struct cm_notice);
+        notice->id = g_strdup(id);
+        notice->incarnation = g_strdup(id);
+        notice->leaving = true;
+        notice->leaving_since = now;
+        notice->heard = now;
+        g_hash_table_insert(targets->notices, notice->incarnation, notice);
+    }
+    return !known;
+}
+
 static bool
 is_paused(const struct cm_live_target *target, struct timespec now)
 {
--- a/packages/dispatch/tests/notices_test.c
+++ b/packages/dispatch/tests/notices_test.c
@@ -212,6 +212,29 @@
     }
 }
 
+/// A response of status 421 may come from an incarnation that isn't listed
+/// yet. The next entry of its id is bound, a later start isn't.
+static void
+test_leaving_before_listed(void)
+{
+    struct cm_targets targets;
+    CmTargets_Init(&targets, "a", 7000);
+    CU_ASSERT(CmNotices_AddLeavingById(&targets, first.id, at_ms(0)));
+    CU_ASSERT_FALSE(CmNotices_AddLeavingById(&targets, first.id, at_ms(1)));
+    struct cm_live_target *target = CmTargets_Update(&targets, &first);
+    CU_ASSERT_FALSE(CmTarget_MayGetWork(target, at_ms(2)));
+    CU_ASSERT_FALSE(CmNotices_AddLeavingById(&targets, first.id, at_ms(3)));
+    target = apply(&targets, REMOVED_AND_BACK);
+    CU_ASSERT_FALSE(CmTarget_MayGetWork(target, at_ms(4)));
+    target = apply(&targets, RESTARTED);
+    CU_ASSERT(CmTarget_MayGetWork(target, at_ms(5)));
+    CU_ASSERT(CmNotices_AddLeavingById(&targets, first.id, at_ms(6)));
+    CU_ASSERT_FALSE(CmTarget_MayGetWork(target, at_ms(7)));
+    CmNotices_AddLeavingById(&targets, "e9", at_ms(0));
+    CmNotices_Expire(&targets, at_ms(4000000));
+    CmTargets_Finish(&targets);
+}
+
 /// An entry that is gone gets no work, although the target has said nothing.
 static void
 test_removed(void)
@@ -230,6 +253,7 @@
 
 static const struct cm_test tests[] = {
     {"a target that says that it leaves", test_leaving},
+    {"a target that leaves before it is listed", test_leaving_before_listed},
     {"a target that asks for a pause", test_pause},
     {"all targets pause", test_pause_left},
     {"a target that is no longer listed", test_removed},
--- a/programs/coriandermoor/gateway/target_notices.c
+++ b/programs/coriandermoor/gateway/target_notices.c
@@ -10,43 +10,51 @@
 #include "dispatch/notices.h"
 #include "request.h"
 
-/// @return the target that the response tells of, or NULL if it is unknown:
-/// a misdirected request may have been answered by another incarnation.
-static struct cm_live_target *
-find_speaker(const struct request *request)
+/// @return whether another incarnation than the intended one has answered.
+static bool
+is_from_another(const struct attempt *attempt)
 {
+    const struct cm_target_response *response = &attempt->response;
+    return response->misdirected && response->instance[0] != '\0' &&
+           strcmp(response->instance, attempt->target->id) != 0;
+}
+
+static void
+note_leaving(struct request *request)
+{
+    struct gateway *gateway = request->gateway;
     const struct attempt *attempt = &request->attempt;
-    const char *instance = attempt->response.instance;
-    if (!attempt->response.misdirected || instance[0] == '\0' ||
-        strcmp(instance, attempt->target->id) == 0) {
-        return attempt->target;
+    struct timespec now = Gateway_Now(gateway);
+    bool other = is_from_another(attempt);
+    const char *id = other ? attempt->response.instance : attempt->target->id;
+    bool begins =
+        other ? CmNotices_AddLeavingById(&gateway->targets, id, now)
+              : CmNotices_AddLeaving(&gateway->targets, attempt->target, now);
+    if (begins) {
+        CmLog_Event(G_LOG_LEVEL_WARNING, "notice", request->parsed.id,
+                    "%s at %s says that it leaves: no new work", id,
+                    attempt->target->address);
     }
-    return CmTargets_Find(&request->gateway->targets, instance);
 }
 
 void
 TargetNotices_CountResponse(struct request *request)
 {
     struct gateway *gateway = request->gateway;
-    struct cm_live_target *speaker = find_speaker(request);
-    if (speaker == NULL) {
-        return;
-    }
-    const struct cm_target_response *response = &request->attempt.response;
-    struct timespec now = Gateway_Now(gateway);
-    if (response->leaving &&
-        CmNotices_AddLeaving(&gateway->targets, speaker, now)) {
-        CmLog_Event(G_LOG_LEVEL_WARNING, "notice", request->parsed.id,
-                    "%s at %s says that it leaves: no new work", speaker->id,
-                    speaker->address);
+    const struct attempt *attempt = &request->attempt;
+    const struct cm_target_response *response = &attempt->response;
+    if (response->leaving) {
+        note_leaving(request);
     }
     if (response->has_pause &&
-        CmNotices_AddPause(&gateway->targets, speaker, response->pause_ms,
-                           g_rand_double(gateway->random), now)) {
+        CmNotices_AddPause(&gateway->targets, attempt->target,
+                           response->pause_ms, g_rand_double(gateway->random),
+                           Gateway_Now(gateway))) {
         CmLog_Event(G_LOG_LEVEL_WARNING, "notice", request->parsed.id,
                     "%s at %s asks for a pause of %" PRId64
                     " ms: no requests meanwhile",
-                    speaker->id, speaker->address, response->pause_ms);
+                    attempt->target->id, attempt->target->address,
+                    response->pause_ms);
     }
 }
 
@@ -65,7 +73,7 @@
 {
     const struct gateway *gateway = context;
     struct timespec now = Gateway_Now(gateway);
-    if (notice->leaving && target == NULL && !notice->gone) {
+    if (notice->leaving && notice->listed && target == NULL && !notice->gone) {
         notice->gone = true;
         CmLog_Event(G_LOG_LEVEL_INFO, "notice", NULL,
                     "%s is gone, %" PRId64 " ms after it said that it leaves",
