test(soak): targets that leave by their word or ask for pauses

Cause: notices were not played beside crashes, stops and outages, and no case showed a target that leaves before the store lists it.

Change: two further faults, each as likely as the others: a target says that it leaves and a new incarnation follows; a target turns requests away for up to 3 s, one to three times. What reached targets is checked as in e2e-target-notices, unless the gateway (for engines also a link) had a fault between 4.5 s before it was told and the request.

--- a/testing/fleet/notices.py
+++ b/testing/fleet/notices.py
@@ -26,12 +26,17 @@
     return told
 
 
-def late_requests(targets, sent, bound_s, counts=lambda gateway, told: True):
+def always(target, gateway, told, when):
+    """The rule holds for each request."""
+    return True
+
+
+def late_requests(targets, sent, bound_s, counts=always):
     """Returns a text for each gateway that sent a leaving target a request
     that its client had sent more than bound_s after the gateway was told.
 
-    counts() tells whether the rule holds for what a gateway was told at a
-    time.
+    counts() tells whether the rule holds for a request that reached the target
+    at a time, from a gateway that was told at an earlier one.
     """
     broken = []
     for target in targets:
@@ -39,15 +44,16 @@
             late = [when for request, i, when in target.arrivals
                     if i == incarnation
                     and sent.gateway_of.get(request) == gateway
-                    and sent.at[request] > told + bound_s]
-            if late and counts(gateway, told):
+                    and sent.at[request] > told + bound_s
+                    and counts(target, gateway, told, when)]
+            if late:
                 broken.append(f"{target.host} got {len(late)} requests from "
                               f"gateway {gateway}, the last "
                               f"{max(late) - told:.2f} s after it was told")
     return broken
 
 
-def broken_pauses(targets, sent, counts=lambda gateway, told: True):
+def broken_pauses(targets, sent, counts=always):
     """Returns a text for each pause that a gateway did not keep."""
     broken = []
     for target in targets:
@@ -56,8 +62,9 @@
             late = [at for other, i, at in target.arrivals
                     if i == incarnation and gateway is not None
                     and sent.gateway_of.get(other) == gateway
-                    and when + CROSSING_S < at < end]
-            if len(late) > CROSSING and counts(gateway, when):
+                    and when + CROSSING_S < at < end
+                    and counts(target, gateway, when, at)]
+            if len(late) > CROSSING:
                 broken.append(f"{target.host} asked gateway {gateway} for a "
                               f"pause of {end - when:.2f} s and got "
                               f"{len(late)} requests meanwhile")
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -23,6 +23,7 @@
 from deployment import (Deployment, call, expected_events,  # noqa: E402
                         request_headers)
 from limits import broken_limits  # noqa: E402
+from notices import Sent, broken_pauses, late_requests  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 ADAPTERS = 14
@@ -40,6 +41,8 @@
 LATE_SENDS_MAX = 3
 CRASHING_SHARE = 0.04  # of requests
 CRASHING_CONTENTS = 1  # for each route
+# Longest fault of a link, which may hold back what a target has said.
+FAULT_MAX_S = 4.5
 COPY_INTERVAL_S = 1.0  # between copies of the store
 COPIES = 6
 
@@ -70,6 +73,7 @@
         self.number = 0
         self.announced_versions = {}  # adapter to [(time, version)]
         self.drain_started = {}  # incarnation to time
+        self.fault_times = {}  # area to the times of all its faults
         self.last_fault = {}  # process name, host, "store" or "links" to time
         self.served_routes = [set() for _ in self.deployment.gateways]
         self.violations = []
@@ -106,6 +110,7 @@
     def record_fault(self, area):
         self.faults += 1
         self.last_fault[area] = time.monotonic()
+        self.fault_times.setdefault(area, []).append(self.last_fault[area])
 
     def undisturbed(self, *areas, since=None):
         """Whether the last fault of each area ended SETTLE_S before `since`.
@@ -321,6 +326,34 @@
         target.server_limit = None
         target.limits_ended.append(time.monotonic())
 
+    async def leave(self):
+        """A target says in its responses that it leaves, whatever it reports
+        to the store, and a new incarnation follows it."""
+        target = self.random.choice(self.deployment.plains
+                                    + self.deployment.engines)
+        incarnation = target.id
+        target.leaving_statuses = None
+        await asyncio.sleep(self.random.uniform(2, 5))
+        if target.up and target.id == incarnation:
+            self.record_fault(target.host)
+            await target.crash()
+            if self.random.random() < 0.7:
+                target.deregister()
+        target.leaving_statuses = ()
+        await asyncio.sleep(self.random.uniform(0.2, 1))
+        if not target.up:
+            await target.start()
+
+    async def turn_away(self):
+        """A target asks for pauses."""
+        target = self.random.choice(self.deployment.plains
+                                    + self.deployment.engines)
+        target.says_not_run = self.random.random() < 0.7
+        for _ in range(self.random.randint(1, 3)):
+            target.ask_for_pause(self.random.uniform(0.1, 3))
+            await asyncio.sleep(self.random.uniform(0.1, 4))
+        target.busy_until = 0.0
+
     async def disrupt_plain_target(self):
         target = self.random.choice(self.deployment.plains)
         target.lost_response_rate, target.failure_rate = 0.3, 0.3
@@ -395,6 +428,7 @@
                  self.disrupt_links, self.disrupt_engine,
                  self.disrupt_plain_target, self.disrupt_store,
                  self.name_rate_limit, self.name_rate_limit,
+                 self.leave, self.turn_away,
                  self.restore_store, self.restore_store,
                  self.change_configuration, self.change_configuration]
         running_faults = {}
@@ -425,6 +459,7 @@
                         f"{request}: answered {answer[0]}, but it ran")
         for body in CRASHING_BODIES:
             self.check_crashes(body)
+        self.check_notices()
         for text in broken_limits(
                 self.deployment.engines + self.deployment.plains,
                 {request: sent[2] for request, sent in self.sent.items()},
@@ -434,6 +469,24 @@
         if any(e.slots_exceeded for e in self.deployment.engines):
             self.report_violation("an engine got more loads than it has slots")
 
+    def check_notices(self):
+        """Checks that targets which said that they leave, or asked for a
+        pause, got no requests from gateways without a fault since."""
+        sent = Sent({request: s[2] for request, s in self.sent.items()},
+                    {request: s[3] for request, s in self.sent.items()})
+
+        def counts(target, gateway, told, when):
+            areas = [f"gateway{gateway}"]
+            if target in self.deployment.engines:
+                areas.append("links")
+            return not any(told - FAULT_MAX_S < fault < when for area in areas
+                           for fault in self.fault_times.get(area, ()))
+        targets = self.deployment.engines + self.deployment.plains
+        bound_s = self.deployment.drain_ms / 1000
+        for text in (late_requests(targets, sent, bound_s, counts)
+                     + broken_pauses(targets, sent, counts)):
+            self.report_violation(text)
+
     def check_crashes(self, body):
         """Checks that a crashing content is not sent on after its third crash
         by gateways without a fault."""
