--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -4,7 +4,8 @@
 ///
 /// caller_conns.c reads requests and passes them to request.c. placement.c
 /// picks a target for each attempt, lease.c acquires the adapter there, and
-/// target_call.c sends the request. responses.c writes to the caller.
+/// target_call.c sends the request. successor.c looks for a target that takes
+/// over from a silent one. responses.c writes to the caller.
 /// crash_watch.c finds contents that crash their targets, trial_claim.c has
 /// suspects run alone, and peer_gossip.c shares records with other gateways.
 /// rate_limits.c keeps the rate limits that targets name, and peer_call.c
