perf(gateway): no prompt is read while nothing is suspected

Each stream of half a second had its prompt's parts named, though clearing matters only while a part may be a suspect.

--- a/packages/quarantine/src/verdict_defs.h
+++ b/packages/quarantine/src/verdict_defs.h
@@ -22,7 +22,7 @@
     bool explained; ///< a refused content or part ran in it
 };
 
-/// Part of one content in one crash.
+/// What one content, or one part of prompts, had to do with one crash.
 struct involvement {
     struct crash *crash;
     int weight;
--- a/programs/coriandermoor/gateway/prompt_parts.c
+++ b/programs/coriandermoor/gateway/prompt_parts.c
@@ -128,6 +128,14 @@
     }
 }
 
+/// @return whether parts may be suspects, so that it matters which are sound.
+static bool
+has_suspects(const struct gateway *gateway)
+{
+    return gateway->quarantine.n_parts > 0 ||
+           !LIST_EMPTY(&gateway->crash_suspicions);
+}
+
 void
 PromptParts_CountEvents(struct request *request)
 {
@@ -136,8 +144,10 @@
         CmTime_DiffMs(request->last_event_at, attempt->first_event_at) >=
             SURVIVED_MS) {
         attempt->parts_cleared = true;
-        clear(request->gateway, PromptParts_Of(request), attempt->target,
-              request->parsed.id);
+        if (has_suspects(request->gateway)) {
+            clear(request->gateway, PromptParts_Of(request), attempt->target,
+                  request->parsed.id);
+        }
     }
 }
 
@@ -178,10 +188,8 @@
 {
     struct gateway *gateway = request->gateway;
     const struct attempt *attempt = &request->attempt;
-    bool suspected = gateway->quarantine.n_parts > 0 ||
-                     !LIST_EMPTY(&gateway->crash_suspicions);
-    if (attempt->parts_cleared || !suspected || !has_room(gateway) ||
-        PromptParts_Of(request)->n == 0) {
+    if (attempt->parts_cleared || !has_suspects(gateway) ||
+        !has_room(gateway) || PromptParts_Of(request)->n == 0) {
         return;
     }
     struct timespec now = Gateway_Now(gateway);
