fix(gateway): keep a stream whose successor rejects it until it can resume

Callers saw a stream cut 1.3 s after its start, with seconds of its deadline left, if the successor of the stalled attempt rejected the request as not run.

Cause: engines that denied a lease to the search stayed excluded after the take-over, and a stream that no target could take just then was cut at once.

The take-over now excludes only the stalled target and those before the search. A resumable stream that has sent events, and whose last attempt was rejected, unsent or lost, is placed again every 300 ms without exclusions, up to its deadline or the caller's idle time-out. Requests that have not begun to answer are refused as before.

The stand-in now records the end of each run; the limit is the same.

--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -25,6 +25,8 @@
 /// loads its model from local disk within one or two seconds.
 #define ENGINE_WAIT_MAX_MS 1500
 #define ENGINE_POLL_MS 100
+/// Time until a stream that can't be resumed now is placed again.
+#define RESUME_PAUSE_MS 300
 /// Longest time from an engine's registration until its model is loaded from
 /// local disk: up to one second until the agent is asked to load it, and up
 /// to two for the load.
@@ -174,9 +176,33 @@
     gateway->count.limit_refusals.value++;
 }
 
+/// @return whether the request's stream has begun and may go on at a target
+/// that can take it later.
+static bool
+may_resume_later(struct request *request)
+{
+    request->retry.left_ms = Request_LeftMs(request);
+    return request->first_event_at.tv_sec != 0 &&
+           request->last_end != CM_ATTEMPT_FAILED &&
+           CmRetry_NextStep(&request->retry, request->last_end) ==
+               CM_RETRY_RESEND &&
+           time_left(request).client_timeout_ms > 0;
+}
+
+/// Places the request again after a pause.
+static void
+wait_for_target(struct request *request, int64_t pause_ms)
+{
+    request->placement = PLACEMENT_WAITING;
+    request->waited = true;
+    // Targets that denied or rejected it may take it by then.
+    Request_TruncateExcluded(request, 0);
+    Request_SetPlacementTimer(request, pause_ms);
+}
+
 /// Waits if most engines are starting, as they become usable before the
-/// caller would retry. Otherwise ends the request, or the search for a
-/// successor.
+/// caller would retry, or if a stream may go on later. Otherwise ends the
+/// request, or the search for a successor.
 static void
 wait_or_give_up(struct request *request, const char *reason)
 {
@@ -184,6 +210,13 @@
         Request_GiveUp(request, reason);
         return;
     }
+    if (may_resume_later(request)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "place", request->parsed.id,
+                    "waits to resume its stream: %s", reason);
+        wait_for_target(request,
+                        MIN(RESUME_PAUSE_MS, Request_LeftMs(request)));
+        return;
+    }
     struct timespec now = Gateway_Now(request->gateway);
     if (request->sends > 0 || !most_engines_starting(request) ||
         Request_SinceArrivalMs(request, now) > ENGINE_WAIT_MAX_MS ||
@@ -201,16 +234,12 @@
         Request_GiveUp(request, reason);
         return;
     }
-    if (request->placement != PLACEMENT_STARTING) {
+    if (request->placement != PLACEMENT_WAITING) {
         CmLog_Event(G_LOG_LEVEL_INFO, "place", request->parsed.id,
                     "waits for starting engines of service %s",
                     request->service);
     }
-    request->placement = PLACEMENT_STARTING;
-    request->waited = true;
-    // Agents that were down may be reachable again by then.
-    Request_TruncateExcluded(request, 0);
-    Request_SetPlacementTimer(request, ENGINE_POLL_MS);
+    wait_for_target(request, ENGINE_POLL_MS);
 }
 
 void
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -502,7 +502,7 @@
         return;
     }
     switch (request->placement) {
-    case PLACEMENT_STARTING:
+    case PLACEMENT_WAITING:
         Request_Place(request);
         break;
     case PLACEMENT_LEASING:
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -17,7 +17,7 @@
 /// What the placement of a request waits for.
 enum placement_phase {
     PLACEMENT_NONE,     ///< the request is not being placed
-    PLACEMENT_STARTING, ///< starting engines to become usable
+    PLACEMENT_WAITING,  ///< a target that can take it
     PLACEMENT_LEASING,  ///< an agent's reply to a lease request
     PLACEMENT_CLAIMING, ///< a trial of its content, or the end of another one
     PLACEMENT_CLAIMING_PERMIT, ///< a permit of a target that names a limit
--- a/programs/coriandermoor/gateway/successor.c
+++ b/programs/coriandermoor/gateway/successor.c
@@ -141,7 +141,8 @@
 void
 Successor_TakeOver(struct request *request)
 {
-    request->search.active = false;
+    // Engines that denied a lease to the search may grant it by now.
+    Successor_KeepForRetry(request);
     CrashWatch_CountSilent(request);
     Request_CountAttemptEnd(request, CM_ATTEMPT_LOST);
     // Closing the connection makes the target cancel the request.
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -40,7 +40,7 @@
         self.host, self.port = host, port
         self.unresponsive = False
         self.silent = False
-        self.ended = []  # (request id, time) of requests, sent or broken off
+        self.ended = {}  # time by run, whether sent or broken off
         self.connections = set()
         self.server = None
 
@@ -92,9 +92,8 @@
         try:
             await self.send_response(reader, writer, response)
         finally:
-            if "x-request-id" in headers:
-                self.ended.append((headers["x-request-id"],
-                                   time.monotonic()))
+            if "run" in headers:
+                self.ended[headers["run"]] = time.monotonic()
         return not response.ends_by_close
 
     async def wait_while_silent(self, reader, writer):
@@ -394,8 +393,9 @@
         return response
 
     def record_run(self, headers, target, adapter=None, version=None):
-        self.runs.append((headers.get("x-request-id"), target, adapter,
-                          version, self.id, time.monotonic()))
+        headers["run"] = (headers.get("x-request-id"), target, adapter,
+                          version, self.id, time.monotonic())
+        self.runs.append(headers["run"])
 
     def record_arrival(self, headers):
         self.arrivals.append((headers.get("x-request-id"), self.incarnation(),
