fix(gateway): ask for another lease if a new version was announced meanwhile

Callers' streams stood still longer than needed: the engine of a successor rejected the request (421), and the stalled attempt had been given up by then.

Cause: a lease is requested for the version known then, while the send asks for the newest one. A version announced in between, as while the adapter loads, makes the engine reject the request.

A lease now knows its version: the requested one, or a newer one that the agent names. If a newer one was announced before the send, the lease is released and the request placed again, before the stalled attempt ends.

--- a/programs/coriandermoor/gateway/lease.c
+++ b/programs/coriandermoor/gateway/lease.c
@@ -61,6 +61,7 @@
     lease->target->agent_report = report;
     Gateway_UpdateGatewayCount(request->gateway, reply.gateways);
     lease->busy = reply.outcome == CM_LEASE_OUTCOME_BUSY;
+    lease->version = MAX(lease->version, reply.version);
     *why = CmLeaseOutcome_Name(reply.outcome);
     return granted;
 }
@@ -146,6 +147,7 @@
                                       .body_max_bytes =
                                           CM_LEASE_REPLY_MAX_BYTES};
     lease->target = CmTarget_Ref(target);
+    lease->version = lease_request.version;
     lease->granted = false;
     if (lease->body == NULL) {
         lease->body = g_string_new(NULL);
@@ -245,6 +247,15 @@
     release_target(lease);
 }
 
+bool
+Lease_IsOutdated(const struct request *request)
+{
+    const struct lease *lease = &request->lease;
+    return lease->granted &&
+           lease->version < CmTargets_Version(&request->gateway->targets,
+                                              request->parsed.adapter);
+}
+
 void
 Lease_HandOver(struct request *request)
 {
--- a/programs/coriandermoor/gateway/lease.h
+++ b/programs/coriandermoor/gateway/lease.h
@@ -31,6 +31,11 @@
 void
 Lease_Release(struct request *request);
 
+/// @return whether a version of the adapter was announced since the lease was
+/// requested. Its engine would reject the request.
+bool
+Lease_IsOutdated(const struct request *request);
+
 /// Hands a granted lease to the attempt that was sent to its target.
 void
 Lease_HandOver(struct request *request);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -234,6 +234,14 @@
         Request_Place(request);
         return;
     }
+    if (Lease_IsOutdated(request)) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "place", request->parsed.id,
+                    "the lease at %s is for an old version of %s", target->id,
+                    request->parsed.adapter);
+        Lease_Release(request);
+        Request_Place(request);
+        return;
+    }
     struct cm_retry_window *window =
         request->sends > 0
             ? Gateway_RetryWindow(request->gateway, request->service)
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -31,6 +31,7 @@
     GString *body;
     int status;
     struct cm_live_target *target; ///< NULL without a lease
+    int64_t version;               ///< of the adapter, 0 for any
     bool granted;
     bool busy; ///< denied: the engine's queue wait exceeds the limit
 };
