fix(gateway): search ever more rarely for a successor

Agents were asked for leases every 300 ms by each stalled stream, however long the searches had been without result.

The pause after a search without result now doubles from 300 to 1,200 ms. Progress of the attempt sets it back.

--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -287,7 +287,7 @@
 void
 Request_CountProgress(struct request *request)
 {
-    Successor_Abandon(request);
+    Successor_CountProgress(request);
     start_progress_timer(request);
 }
 
@@ -594,6 +594,7 @@
         evtimer_new(gateway->base, on_attempt_timer, request);
     request->placement_timer =
         evtimer_new(gateway->base, on_placement_timer, request);
+    Successor_Init(&request->search);
     gateway->n_requests++;
     gateway->count.requests.value++;
     CmCallCodec_DecodeRequest(head, &request->parsed);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -5,6 +5,7 @@
 #ifndef GATEWAY_REQUEST_DEFS_H
 #define GATEWAY_REQUEST_DEFS_H
 
+#include "base/backoff.h"
 #include "call_codec.h"
 #include "caller_conns.h"
 #include "dispatch/wait_limit.h"
@@ -82,7 +83,8 @@
 /// meanwhile.
 struct successor_search {
     bool active;
-    size_t n_excluded; ///< targets that were excluded before it
+    size_t n_excluded;         ///< targets that were excluded before it
+    struct cm_backoff backoff; ///< pause until the next one
     struct cm_h1_call connect;
     struct cm_live_target *target; ///< to which it connects; NULL for none
 };
--- a/programs/coriandermoor/gateway/successor.c
+++ b/programs/coriandermoor/gateway/successor.c
@@ -12,8 +12,9 @@
 #include "target_call.h"
 #include "trial_claim.h"
 
-/// Time from a search without result to the next one.
+/// Time from a search without result to the next one; doubles with each.
 #define SEARCH_PAUSE_MS 300
+#define SEARCH_PAUSE_MAX_MS 1200
 
 /// @return whether the request may be sent again, apart from what the search
 /// is to find. A trial runs alone and once, so that it has no successor.
@@ -32,8 +33,24 @@
 static void
 pause_search(struct request *request)
 {
-    Request_SetAttemptTimer(
-        request, MIN(Request_AttemptLeftMs(request), SEARCH_PAUSE_MS));
+    struct cm_backoff *backoff = &request->search.backoff;
+    Request_SetAttemptTimer(request, MIN(Request_AttemptLeftMs(request),
+                                         CmBackoff_DelayMs(backoff)));
+    CmBackoff_Increase(backoff);
+}
+
+void
+Successor_Init(struct successor_search *search)
+{
+    search->backoff =
+        (struct cm_backoff){SEARCH_PAUSE_MS, SEARCH_PAUSE_MAX_MS, 0};
+}
+
+void
+Successor_CountProgress(struct request *request)
+{
+    Successor_Abandon(request);
+    CmBackoff_Reset(&request->search.backoff);
 }
 
 void
--- a/programs/coriandermoor/gateway/successor.h
+++ b/programs/coriandermoor/gateway/successor.h
@@ -10,6 +10,14 @@
 
 #include "request_defs.h"
 
+/// Prepares the searches of a new request.
+void
+Successor_Init(struct successor_search *search);
+
+/// Ends a search, if there is one, as the attempt goes on.
+void
+Successor_CountProgress(struct request *request);
+
 /// Looks for a successor of the stalled attempt. If the retry rules or the
 /// retry budget allow none now, tries again after a pause.
 void
