--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -80,7 +80,7 @@
         g_free(adapter);
     }
     static const struct cm_engine_report_handler handler = {
-        NULL, ignore_adapter, ignore_run};
+        .adapter = ignore_adapter, .run = ignore_run};
     struct cm_engine_report report;
     CmEngineCodec_DecodeReport(json, &report, &handler, NULL);
 }
