perf(quarantine): find a suspect's crashes by bits

Cause: with parts of prompts a record holds twice as many runs, and popular parts are in many crashes; each run scanned its suspect's crashes, and so did each comparison of two suspects. Change: crashes are numbered in each computation, and a suspect has a bit for each; the crash of a record is looked up once for all its runs.

--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -13,6 +13,8 @@
 /// processes learn each other's times by messages.
 #define OVERLAP_TOLERANCE_MS 5
 
+#define WORD_BITS 64
+
 /// Time after which the crash of a trial is taken for one of another cause, as
 /// a content crashes a target when it starts to run. Only another trial
 /// decides then.
@@ -23,6 +25,7 @@
 {
     struct candidate *candidate = data;
     g_array_free(candidate->involvements, TRUE);
+    g_free(candidate->seen);
     g_free(candidate);
 }
 
@@ -71,6 +74,7 @@
         crash = g_new0(struct crash, 1);
         crash->target = target;
         crash->at = at;
+        crash->number = g_hash_table_size(evaluation->crashes);
         g_hash_table_insert(evaluation->crashes, (void *)target, crash);
     }
     return crash;
@@ -84,6 +88,7 @@
     if (candidate == NULL) {
         candidate = g_new0(struct candidate, 1);
         candidate->suspect = g_new0(struct cm_suspect, 1);
+        candidate->seen = g_new0(uint64_t, evaluation->seen_words);
         candidate->involvements =
             g_array_new(FALSE, FALSE, sizeof(struct involvement));
         g_strlcpy(candidate->suspect->content, content, CM_CONTENT_SIZE);
@@ -108,17 +113,30 @@
     g_strlcat(suspect->observers, observer, sizeof(suspect->observers));
 }
 
+/// Records that the candidate's run in a known crash was its trial.
+static void
+mark_trial(struct candidate *candidate, const struct crash *crash)
+{
+    for (guint i = 0; i < candidate->involvements->len; i++) {
+        struct involvement *known =
+            &g_array_index(candidate->involvements, struct involvement, i);
+        if (known->crash == crash) {
+            candidate->suspect->trial_crashes += !known->trial;
+            known->trial = true;
+            return;
+        }
+    }
+}
+
 static void
 add_run(struct evaluation *evaluation, const struct cm_crash_record *record,
-        const struct cm_crash_run *run)
+        struct crash *crash, const struct cm_crash_run *run)
 {
     if (GPOINTER_TO_INT(g_hash_table_lookup(
             evaluation->counts, run->content)) < evaluation->min_records ||
         is_superseded(evaluation->cleared, run->content, record->at)) {
         return;
     }
-    struct crash *crash =
-        find_or_add_crash(evaluation, record->target, record->at);
     struct candidate *candidate =
         find_or_add_candidate(evaluation, run->content);
     struct cm_suspect *suspect = candidate->suspect;
@@ -130,15 +148,14 @@
     if (CmTime_Before(suspect->last_crash, record->at)) {
         suspect->last_crash = record->at;
     }
-    for (guint i = 0; i < candidate->involvements->len; i++) {
-        struct involvement *known =
-            &g_array_index(candidate->involvements, struct involvement, i);
-        if (known->crash == crash) {
-            suspect->trial_crashes += run->trial && !known->trial;
-            known->trial = known->trial || run->trial;
-            return;
+    if (CmCandidate_WasIn(candidate, crash)) {
+        if (run->trial) {
+            mark_trial(candidate, crash);
         }
+        return;
     }
+    candidate->seen[crash->number / WORD_BITS] |= UINT64_C(1)
+                                                  << crash->number % WORD_BITS;
     g_array_append_val(candidate->involvements, involvement);
     suspect->crashes++;
     suspect->trial_crashes += run->trial;
@@ -182,9 +199,10 @@
             is_superseded(evaluation->alive, record->target, record->at)) {
             continue;
         }
-        find_or_add_crash(evaluation, record->target, record->at);
+        struct crash *crash =
+            find_or_add_crash(evaluation, record->target, record->at);
         for (size_t i = 0; i < record->n_runs; i++) {
-            add_run(evaluation, record, &record->runs[i]);
+            add_run(evaluation, record, crash, &record->runs[i]);
         }
     }
 }
@@ -226,13 +244,9 @@
 bool
 CmCandidate_WasIn(const struct candidate *candidate, const struct crash *crash)
 {
-    for (guint i = 0; i < candidate->involvements->len; i++) {
-        if (g_array_index(candidate->involvements, struct involvement, i)
-                .crash == crash) {
-            return true;
-        }
-    }
-    return false;
+    return (candidate->seen[crash->number / WORD_BITS] >>
+                crash->number % WORD_BITS &
+            1) != 0;
 }
 
 /// @return whether another candidate, in as many crashes as this one, may have
@@ -404,6 +418,18 @@
     g_ptr_array_free(repeated, TRUE);
 }
 
+/// @return the number of crash records, which is at least that of crashes.
+static size_t
+count_crash_records(const struct cm_crash_records *records)
+{
+    size_t n = 0;
+    const struct cm_crash_record *record;
+    CmTailq_FOREACH (record, records, link) {
+        n += record->kind == CM_CRASH_RECORD_CRASH;
+    }
+    return n;
+}
+
 GHashTable *
 CmVerdict_Compute(const struct cm_crash_records *records, int crashes,
                   GHashTable *counts)
@@ -421,6 +447,7 @@
         .suspects =
             g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free),
     };
+    evaluation.seen_words = count_crash_records(records) / WORD_BITS + 1;
     collect_clearances(&evaluation, records);
     collect_crashes(&evaluation, records);
     collect_trials(&evaluation, records);
--- a/packages/quarantine/src/verdict_defs.h
+++ b/packages/quarantine/src/verdict_defs.h
@@ -19,6 +19,7 @@
 struct crash {
     const char *target;
     struct timespec at;
+    size_t number;  ///< order in which the computation met it, from 0
     bool explained; ///< a refused content or part ran in it
 };
 
@@ -35,6 +36,7 @@
 struct candidate {
     struct cm_suspect *suspect;
     GArray *involvements; ///< of struct involvement
+    uint64_t *seen;       ///< bit set of the numbers of its crashes
     /// Of a content's unexplained crashes; of a part's, the number of moments.
     int weight;
 };
@@ -49,6 +51,7 @@
     GHashTable *crashes;    ///< target to struct crash
     GHashTable *candidates; ///< content to struct candidate
     GHashTable *suspects;   ///< result
+    size_t seen_words;      ///< length of a candidate's `seen`
 };
 
 /// @return whether the candidate ran in the crash.
