feat(gateway): log and count what retry budgets decide

Logs and metrics could not tell why a gateway allowed or denied a retry. retry_budget.c gathers the budget's four call sites, without a change of its decisions. A denial is logged at most once a second for each service with the window's figures, the time that they cover, the number of gateways and the age of the process; retries that are sent and denied, and the known number of gateways, are counted.

--- a/packages/dispatch/include/dispatch/retry_window.h
+++ b/packages/dispatch/include/dispatch/retry_window.h
@@ -24,6 +24,14 @@
     int retries[CM_RETRY_WINDOW_BUCKETS];
 };
 
+/// What a window holds at one moment, for logs.
+struct cm_retry_figures {
+    int requests;
+    int retries;
+    double allowed;     ///< retries that these requests and the reserve allow
+    int64_t covered_ms; ///< time to which both counts extend
+};
+
 /// Initializes an empty window.
 void
 CmRetryWindow_Init(struct cm_retry_window *window, double ratio,
@@ -43,4 +51,7 @@
 bool
 CmRetryWindow_Consume(struct cm_retry_window *window, struct timespec now);
 
+struct cm_retry_figures
+CmRetryWindow_Figures(struct cm_retry_window *window, struct timespec now);
+
 #endif
--- a/packages/dispatch/src/retry_window.c
+++ b/packages/dispatch/src/retry_window.c
@@ -44,17 +44,27 @@
     window->requests[advance(window, now)]++;
 }
 
-bool
-CmRetryWindow_Allows(struct cm_retry_window *window, struct timespec now)
+struct cm_retry_figures
+CmRetryWindow_Figures(struct cm_retry_window *window, struct timespec now)
 {
     advance(window, now);
-    int requests = 0;
-    int retries = 0;
+    int64_t bucket_ms = window->window_ms / CM_RETRY_WINDOW_BUCKETS;
+    struct cm_retry_figures figures = {
+        .covered_ms = (CM_RETRY_WINDOW_BUCKETS - 1) * bucket_ms +
+                      CmTime_DiffMs(now, (struct timespec){0}) % bucket_ms};
     for (size_t i = 0; i < CM_RETRY_WINDOW_BUCKETS; i++) {
-        requests += window->requests[i];
-        retries += window->retries[i];
+        figures.requests += window->requests[i];
+        figures.retries += window->retries[i];
     }
-    return retries + 1 <= requests * window->ratio + window->reserve;
+    figures.allowed = figures.requests * window->ratio + window->reserve;
+    return figures;
+}
+
+bool
+CmRetryWindow_Allows(struct cm_retry_window *window, struct timespec now)
+{
+    struct cm_retry_figures figures = CmRetryWindow_Figures(window, now);
+    return figures.retries + 1 <= figures.allowed;
 }
 
 bool
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -70,6 +70,7 @@
     gateway->count.limited_targets.value = (int64_t)gateway->limits.n_named;
     gateway->count.slow_targets.value =
         (int64_t)CmTargets_CountSlow(&gateway->targets, Gateway_Now(gateway));
+    gateway->count.known_gateways.value = gateway->n_gateways;
     TargetNotices_UpdateGauges(gateway);
     CmCounters_Write(&gateway->count.all, text);
     CmHistogram_Write(endpoint->gateway->latency, N_LATENCIES, text);
@@ -300,6 +301,14 @@
                    "Attempts sent to targets.");
     CmCounters_Add(all, &count->retries, "cm_gateway_repeats_total",
                    "Attempts that followed another one.");
+    CmCounters_Add(all, &count->retries_sent, "cm_gateway_retries_sent_total",
+                   "Attempts sent to targets beyond the first of a request.");
+    CmCounters_Add(all, &count->retries_denied,
+                   "cm_gateway_retries_denied_total",
+                   "Retries that the budgets of services did not allow.");
+    CmCounters_AddGauge(all, &count->known_gateways,
+                        "cm_gateway_known_gateways",
+                        "Live gateways, as agents report them.");
     CmCounters_Add(all, &count->leases, "cm_gateway_leases_total",
                    "Adapters asked for at agents.");
     CmCounters_Add(all, &count->store_restores,
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -14,7 +14,8 @@
 /// targets say of themselves.
 /// admission.c finds the client account of a request and checks its key.
 /// load_reports.c applies the load that agents report.
-/// quotas.c keeps the quotas of client accounts.
+/// quotas.c keeps the quotas of client accounts, and retry_budget.c the retry
+/// budgets of services.
 /// stream_versions.c binds streams to the software version that began them.
 /// store_watches.c maintains the tables that placement.c reads. While the
 /// store is unreachable at startup, peer_fetch.c fills them from a snapshot
@@ -29,7 +30,6 @@
 #include "base/counter.h"
 #include "base/histogram.h"
 #include "config/program.h"
-#include "dispatch/retry_window.h"
 #include "dispatch/catalog.h"
 #include "dispatch/config_age.h"
 #include "dispatch/demand.h"
@@ -62,6 +62,9 @@
     struct cm_counter abandoned;
     struct cm_counter sends;
     struct cm_counter retries;
+    struct cm_counter retries_sent;
+    struct cm_counter retries_denied;
+    struct cm_counter known_gateways;
     struct cm_counter leases;
     struct cm_counter store_restores;
     struct cm_counter target_crashes;
@@ -115,12 +118,13 @@
     struct cm_gateway_settings settings;
     struct event_base *base;
     struct cm_clock *clock;
+    struct timespec started_at;
     struct cm_h1_pool pool;
     struct cm_targets targets;
     struct cm_demand demand;
     struct cm_catalog *catalog; ///< NULL until a configuration is known
     json_t *config_json;        ///< its source, as read from the store
-    GHashTable *retry_windows;  ///< service name to struct cm_retry_window
+    GHashTable *retry_budgets;  ///< by service; see retry_budget.c
     GRand *random;
     int64_t n_gateways; ///< live gateways, as reported by agents
     struct timespec gateways_updated;
@@ -217,8 +221,4 @@
 void
 Gateway_UpdateGatewayCount(struct gateway *gateway, int64_t count);
 
-/// @return the retry budget of `service`, which is created on first use.
-struct cm_retry_window *
-Gateway_RetryWindow(struct gateway *gateway, const char *service);
-
 #endif
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -26,6 +26,7 @@
 #include "quotas.h"
 #include "rate_limits.h"
 #include "reload.h"
+#include "retry_budget.h"
 #include "store_watches.h"
 #include "stream_versions.h"
 #include "target_notices.h"
@@ -105,25 +106,6 @@
     }
 }
 
-struct cm_retry_window *
-Gateway_RetryWindow(struct gateway *gateway, const char *service)
-{
-    const struct cm_gateway_settings *settings = &gateway->settings;
-    struct cm_retry_window *window =
-        g_hash_table_lookup(gateway->retry_windows, service);
-    if (window == NULL) {
-        window = g_new(struct cm_retry_window, 1);
-        CmRetryWindow_Init(window, settings->retry_ratio, 0,
-                           (int64_t)(settings->retry_window_s * MS_PER_S));
-        g_hash_table_insert(gateway->retry_windows, g_strdup(service), window);
-    }
-    window->ratio = settings->retry_ratio;
-    // One more than the known number, as another gateway may be starting.
-    window->reserve =
-        settings->retry_reserve / (double)(gateway->n_gateways + 1);
-    return window;
-}
-
 /// Requests a base model load for each engine that lacks its model, as it
 /// cannot serve requests without one.
 static void
@@ -235,8 +217,8 @@
     gateway->base = event_base_new();
     gateway->random = g_rand_new();
     gateway->n_gateways = DEFAULT_GATEWAYS;
-    gateway->retry_windows =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gateway->started_at = Gateway_Now(gateway);
+    RetryBudget_Init(gateway);
     TAILQ_INIT(&gateway->callers);
     Endpoints_InitCounters(gateway);
     CmH1Output_Start(gateway->base, gateway->clock, OUTPUT_MAX_BYTES);
@@ -295,7 +277,7 @@
     CmDemand_Finish(&gateway->demand);
     CmCatalog_Unref(gateway->catalog);
     json_decref(gateway->config_json);
-    g_hash_table_destroy(gateway->retry_windows);
+    RetryBudget_Finish(gateway);
     g_rand_free(gateway->random);
     event_free(gateway->tick);
     event_free(gateway->sweep);
--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -14,6 +14,7 @@
 #include "rate_limits.h"
 #include "residency/residency_defs.h"
 #include "request.h"
+#include "retry_budget.h"
 #include "stream_versions.h"
 #include "target_notices.h"
 
@@ -353,20 +354,11 @@
     wait_for_target(request, ENGINE_POLL_MS);
 }
 
-/// @return whether the budget of repeats allows to send the request.
-static bool
-is_in_budget(const struct request *request)
-{
-    struct gateway *gateway = request->gateway;
-    return request->sends == 0 ||
-           CmRetryWindow_Allows(Gateway_RetryWindow(gateway, request->service),
-                                Gateway_Now(gateway));
-}
-
 void
 Request_Place(struct request *request)
 {
-    if (!is_in_budget(request)) {
+    if (!RetryBudget_Allows(request)) {
+        RetryBudget_CountDenied(request);
         Request_GiveUpForNow(request, "the budget of repeats is spent");
         return;
     }
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -17,6 +17,7 @@
 #include "quotas.h"
 #include "rate_limits.h"
 #include "responses.h"
+#include "retry_budget.h"
 #include "stream_versions.h"
 #include "successor.h"
 #include "target_call.h"
@@ -338,11 +339,8 @@
         Request_Place(request);
         return;
     }
-    struct cm_retry_window *window =
-        request->sends > 0
-            ? Gateway_RetryWindow(request->gateway, request->service)
-            : NULL;
-    if (window != NULL && !CmRetryWindow_Allows(window, now)) {
+    if (!RetryBudget_Allows(request)) {
+        RetryBudget_CountDenied(request);
         Request_GiveUpForNow(request, "the budget of repeats is spent");
         return;
     }
@@ -372,9 +370,7 @@
         Request_GiveUpForNow(request, "no connection could be opened");
         return;
     }
-    if (window != NULL) {
-        CmRetryWindow_Consume(window, now);
-    }
+    RetryBudget_Consume(request);
     // From here on the target may execute the request.
     request->retry.runs++;
     request->progress_at = now;
@@ -531,10 +527,9 @@
         Response_EndByStep(request, step, attempt_end_text(end));
         return;
     }
-    struct cm_retry_window *window =
-        Gateway_RetryWindow(request->gateway, request->service);
-    if (!CmRetryWindow_Allows(window, Gateway_Now(request->gateway)) &&
+    if (!RetryBudget_AllowsRetry(request) &&
         !Request_MayResumeLater(request)) {
+        RetryBudget_CountDenied(request);
         Response_EndByStep(request, CmRetry_FinalStep(&request->retry, end),
                            "the budget of repeats is spent");
         return;
@@ -686,9 +681,7 @@
         .mode = route->retry_mode, .max_attempts = route->max_attempts};
     request->service =
         CmRoute_ChooseService(route, g_rand_double(request->gateway->random));
-    CmRetryWindow_CountRequest(
-        Gateway_RetryWindow(request->gateway, request->service),
-        request->arrived_at);
+    RetryBudget_CountRequest(request);
 }
 
 /// Counts the request for its adapter. The estimate for all gateways assumes
--- a/programs/coriandermoor/gateway/successor.c
+++ b/programs/coriandermoor/gateway/successor.c
@@ -9,6 +9,7 @@
 #include "placement.h"
 #include "rate_limits.h"
 #include "request.h"
+#include "retry_budget.h"
 #include "target_call.h"
 #include "trial_claim.h"
 
@@ -21,13 +22,11 @@
 static bool
 may_search(struct request *request)
 {
-    struct gateway *gateway = request->gateway;
     request->retry.left_ms = Request_LeftMs(request);
     return !request->search.active && !request->attempt.is_trial &&
            !request->quarantined && request->n_excluded < CM_EXCLUDED_MAX &&
            CmRetry_AllowsSuccessor(&request->retry) &&
-           CmRetryWindow_Allows(Gateway_RetryWindow(gateway, request->service),
-                                Gateway_Now(gateway));
+           RetryBudget_AllowsRetry(request);
 }
 
 static void
