--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -85,13 +85,14 @@
     def __init__(self, build, folder, engines=3, plains=2, gateways=2,
                  adapter_slots=3, port=23000, drain_ms=2000, files=1000,
                  retry_reserves=None, gateway_settings="",
-                 store_proxies=False):
+                 store_proxies=False, retry_window_s=10):
         self.build, self.folder = pathlib.Path(build), pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.port = port
         self.drain_ms = drain_ms
         self.files = files
         self.retry_reserves = retry_reserves or {}  # by gateway, otherwise 50
+        self.retry_window_s = retry_window_s
         self.adapter_slots = adapter_slots
         self.gateway_settings = gateway_settings  # further lines
         self.store = Store("127.0.4.1", port)
@@ -144,7 +145,7 @@
             f'seeds: ["127.0.3.1:{self.port + 3}", '
             f'"127.0.3.2:{self.port + 3}"]\n'
             f'store: "{store}"\nagent_port: {self.port + 1}\n'
-            f'retry_ratio: 0.2\nretry_window_s: 10\n'
+            f'retry_ratio: 0.2\nretry_window_s: {self.retry_window_s}\n'
             f'retry_reserve: {self.retry_reserves.get(i, 50)}\n'
             f'stop_s: 8\ndrain_ms: {self.drain_ms}\nfiles: {self.files}\n'
             + self.gateway_settings))
