fix(ratelimit): hold the retry reserve in fixed parts at the seeds

What callers saw: nothing at first; targets that refused most requests got up to half as many retries again as the budget allows, while gateways were killed.

Cause: a bound over all gateways that each process kept in its own memory. The share was divided by a number of gateways that agents told, 32 before and with plain services always.

Change: each seed holds retry_reserve / number of seeds and grants permits from it; a seed that has just started grants nothing until the permits of its predecessor have left the window. A retry beyond the gateway's own requests waits for a claim, 200 ms at most at each seed; first attempts never do.

--- a/packages/ratelimit/include/ratelimit/retry_window.h
+++ b/packages/ratelimit/include/ratelimit/retry_window.h
@@ -23,7 +23,6 @@
 /// Requests and retries of one service.
 struct cm_retry_window {
     double ratio;      ///< retries allowed for each request
-    double reserve;    ///< retries allowed in a window besides the ratio
     int64_t window_ms; ///< length of the window
     int64_t bucket;    ///< present bucket, counted from the clock's zero
     int requests[CM_RETRY_WINDOW_KEPT];
@@ -41,7 +40,7 @@
 /// does not stand still while the machine is suspended.
 void
 CmRetryWindow_Init(struct cm_retry_window *window, double ratio,
-                   double reserve, int64_t window_ms, struct timespec now);
+                   int64_t window_ms, struct timespec now);
 
 /// Counts an incoming request, which raises the budget by the ratio.
 void
--- a/packages/ratelimit/src/retry_window.c
+++ b/packages/ratelimit/src/retry_window.c
@@ -35,10 +35,9 @@
 
 void
 CmRetryWindow_Init(struct cm_retry_window *window, double ratio,
-                   double reserve, int64_t window_ms, struct timespec now)
+                   int64_t window_ms, struct timespec now)
 {
-    *window = (struct cm_retry_window){
-        .ratio = ratio, .reserve = reserve, .window_ms = window_ms};
+    *window = (struct cm_retry_window){.ratio = ratio, .window_ms = window_ms};
     window->bucket = bucket_of(window, now);
 }
 
@@ -95,8 +94,7 @@
     for (int start = 0;
          start < CM_RETRY_WINDOW_BUCKETS + CM_RETRY_WINDOW_MARGIN; start++) {
         retries += window->retries[index_at(window, start)];
-        if (retries >
-            window->ratio * MEAN * requests + window->reserve + ROUNDING) {
+        if (retries > window->ratio * MEAN * requests + ROUNDING) {
             return false;
         }
         requests +=
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -14,6 +14,7 @@
 #include "peer_gossip.h"
 #include "quotas.h"
 #include "rate_limits.h"
+#include "retry_budget.h"
 #include "snapshot.h"
 #include "target_notices.h"
 
@@ -171,6 +172,9 @@
     else if (strcmp(head->target->str, QUOTAS_PATH) == 0) {
         answer_message(endpoint, Quotas_Answer);
     }
+    else if (strcmp(head->target->str, RETRY_PERMITS_PATH) == 0) {
+        answer_message(endpoint, RetryBudget_Answer);
+    }
     else if (strcmp(head->target->str, FACTS_PATH) == 0) {
         write_json(endpoint, Snapshot_ComposeFacts(endpoint->gateway));
     }
@@ -306,6 +310,13 @@
     CmCounters_Add(all, &count->retries_denied,
                    "cm_gateway_retries_denied_total",
                    "Retries that the budgets of services did not allow.");
+    CmCounters_Add(all, &count->retries_by_permit,
+                   "cm_gateway_retries_by_permit_total",
+                   "Retries sent with a permit of the retry reserve.");
+    CmCounters_Add(all, &count->retry_claims, "cm_gateway_retry_claims_total",
+                   "Claims for permits of the retry reserve.");
+    CmCounters_Add(all, &count->retry_grants, "cm_gateway_retry_grants_total",
+                   "Permits of the retry reserve granted to all gateways.");
     CmCounters_AddGauge(all, &count->known_gateways,
                         "cm_gateway_known_gateways",
                         "Live gateways, as agents report them.");
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -40,6 +40,7 @@
 #include "quarantine/gossip.h"
 #include "ratelimit/quota_balance.h"
 #include "ratelimit/rate_permits.h"
+#include "ratelimit/retry_permits.h"
 #include "store.h"
 #include "streams/datagram_port.h"
 #include "streams/record.h"
@@ -64,6 +65,9 @@
     struct cm_counter retries;
     struct cm_counter retries_sent;
     struct cm_counter retries_denied;
+    struct cm_counter retries_by_permit;
+    struct cm_counter retry_claims;
+    struct cm_counter retry_grants;
     struct cm_counter known_gateways;
     struct cm_counter leases;
     struct cm_counter store_restores;
@@ -125,6 +129,8 @@
     struct cm_catalog *catalog; ///< NULL until a configuration is known
     json_t *config_json;        ///< its source, as read from the store
     GHashTable *retry_budgets;  ///< by service; see retry_budget.c
+    struct cm_retry_reserve retry_reserve; ///< granted by this gateway
+    struct cm_retry_permits retry_permits; ///< granted to it
     GRand *random;
     int64_t n_gateways; ///< live gateways, as reported by agents
     struct timespec gateways_updated;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -37,8 +37,7 @@
 #define POLL_TICKS 5
 /// Interval of checks for a changed settings file and idle pool connections.
 #define SWEEP_INTERVAL_MS 2000
-/// Number of gateways assumed until an agent has reported it. All gateways
-/// share the retry reserve equally.
+/// Number of gateways assumed until an agent has reported it.
 #define DEFAULT_GATEWAYS 32
 /// Time after which a lower reported count replaces a higher one.
 #define GATEWAYS_VALID_MS 10000
@@ -176,6 +175,7 @@
     Admission_Tick(gateway);
     RateLimits_Tick(gateway);
     Quotas_Tick(gateway);
+    RetryBudget_Tick(gateway);
     TargetNotices_Tick(gateway);
     StreamVersions_Tick(gateway);
     advance_shutdown(gateway);
@@ -218,7 +218,6 @@
     gateway->random = g_rand_new();
     gateway->n_gateways = DEFAULT_GATEWAYS;
     gateway->started_at = Gateway_Now(gateway);
-    RetryBudget_Init(gateway);
     TAILQ_INIT(&gateway->callers);
     Endpoints_InitCounters(gateway);
     CmH1Output_Start(gateway->base, gateway->clock, OUTPUT_MAX_BYTES);
@@ -235,6 +234,7 @@
     StoreWatch_UpdateTiming(gateway);
     RateLimits_Init(gateway);
     Quotas_Init(gateway);
+    RetryBudget_Init(gateway);
     StreamVersions_Init(gateway);
     CmProgram_FileChanged(settings->common.path, &gateway->settings_stamp);
     gateway->tick = event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
@@ -262,6 +262,7 @@
     CallerConns_Finish(gateway);
     Endpoints_Finish(gateway);
     PeerFetch_Finish(gateway);
+    RetryBudget_Finish(gateway);
     Quotas_Finish(gateway);
     RateLimits_Finish(gateway);
     StreamVersions_Finish(gateway);
@@ -277,7 +278,6 @@
     CmDemand_Finish(&gateway->demand);
     CmCatalog_Unref(gateway->catalog);
     json_decref(gateway->config_json);
-    RetryBudget_Finish(gateway);
     g_rand_free(gateway->random);
     event_free(gateway->tick);
     event_free(gateway->sweep);
--- a/programs/coriandermoor/gateway/placement.c
+++ b/programs/coriandermoor/gateway/placement.c
@@ -357,7 +357,12 @@
 void
 Request_Place(struct request *request)
 {
-    if (!RetryBudget_Allows(request)) {
+    switch (RetryBudget_Admit(request)) {
+    case RETRY_ADMITTED:
+        break;
+    case RETRY_WAITS:
+        return;
+    case RETRY_DENIED:
         RetryBudget_CountDenied(request);
         Request_GiveUpForNow(request, "the budget of repeats is spent");
         return;
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -65,6 +65,7 @@
     Lease_Release(request);
     TrialClaim_Finish(request);
     RateLimits_FinishRequest(request);
+    RetryBudget_FinishRequest(request);
     TargetCall_Finish(request);
     if (request->lease.body != NULL) {
         g_string_free(request->lease.body, TRUE);
@@ -339,9 +340,9 @@
         Request_Place(request);
         return;
     }
-    if (!RetryBudget_Allows(request)) {
-        RetryBudget_CountDenied(request);
-        Request_GiveUpForNow(request, "the budget of repeats is spent");
+    if (!RetryBudget_AllowsSend(request)) {
+        Lease_Release(request);
+        Request_Place(request);
         return;
     }
     if (request->search.active && !Successor_Connect(request, target)) {
@@ -370,7 +371,7 @@
         Request_GiveUpForNow(request, "no connection could be opened");
         return;
     }
-    RetryBudget_Consume(request);
+    RetryBudget_CountSend(request);
     // From here on the target may execute the request.
     request->retry.runs++;
     request->progress_at = now;
@@ -527,8 +528,7 @@
         Response_EndByStep(request, step, attempt_end_text(end));
         return;
     }
-    if (!RetryBudget_AllowsRetry(request) &&
-        !Request_MayResumeLater(request)) {
+    if (!RetryBudget_MayRetry(request) && !Request_MayResumeLater(request)) {
         RetryBudget_CountDenied(request);
         Response_EndByStep(request, CmRetry_FinalStep(&request->retry, end),
                            "the budget of repeats is spent");
@@ -658,6 +658,7 @@
         TrialClaim_HandleTimer(request);
         break;
     case PLACEMENT_CLAIMING_PERMIT:
+    case PLACEMENT_CLAIMING_RETRY:
         Request_SetPlacementTimer(request, Request_LeftMs(request));
         break;
     case PLACEMENT_RESOLVING:
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -13,6 +13,7 @@
 #include "dispatch/retry.h"
 #include "dispatch/pick.h"
 #include "h1/pool.h"
+#include "ratelimit/retry_permits.h"
 #include "residency/lease_message.h"
 #include "streams/record.h"
 
@@ -25,6 +26,7 @@
     PLACEMENT_LEASING,   ///< an agent's reply to a lease request
     PLACEMENT_CLAIMING,  ///< a trial of its content, or the end of another one
     PLACEMENT_CLAIMING_PERMIT, ///< a permit of a target that names a limit
+    PLACEMENT_CLAIMING_RETRY,  ///< a permit of the retry reserve
     PLACEMENT_CONNECTING,      ///< a connection to the successor
 };
 
@@ -84,6 +86,14 @@
     struct cm_live_target *target; ///< it holds a permit there; NULL for none
 };
 
+/// Permit of a request for a retry.
+struct retry_permit {
+    TAILQ_ENTRY(request) link; ///< among those that wait for a claim
+    bool waiting;              ///< it is in that list
+    unsigned round;            ///< of the list when the wait began
+    struct cm_retry_permit permit;
+};
+
 /// Cost of a request to the quota of its client account.
 struct quota_use {
     TAILQ_ENTRY(request) link; ///< among those that wait for a claim
@@ -138,6 +148,7 @@
     struct attempt attempt;
     struct trial trial;
     struct permit permit;
+    struct retry_permit retry_permit;
     struct quota_use quota;
     struct cm_event_stream events;
     struct stream_binding binding;
--- a/programs/coriandermoor/gateway/successor.c
+++ b/programs/coriandermoor/gateway/successor.c
@@ -26,7 +26,7 @@
     return !request->search.active && !request->attempt.is_trial &&
            !request->quarantined && request->n_excluded < CM_EXCLUDED_MAX &&
            CmRetry_AllowsSuccessor(&request->retry) &&
-           RetryBudget_AllowsRetry(request);
+           RetryBudget_MayRetry(request);
 }
 
 static void
@@ -84,6 +84,7 @@
     Lease_Release(request);
     TrialClaim_Finish(request);
     RateLimits_FinishRequest(request);
+    RetryBudget_FinishRequest(request);
     Request_TruncateExcluded(request, request->search.n_excluded);
 }
 
--- a/testing/fleet/cases.py
+++ b/testing/fleet/cases.py
@@ -83,13 +83,14 @@
         self.task.cancel()
 
 
-async def run_cases(args, cases, known_failures, prepare=None, **options):
+async def run_cases(args, cases, known_failures, prepare=None, settled=False,
+                    **options):
     """Runs the cases on one deployment and prints "N passed, N failed".
 
     known_failures maps a case to the start of the only error that is passed
     over and printed. Each has an entry in KNOWN-RED.txt; any other error fails
-    the case. prepare() gets the deployment before it starts. Returns the exit
-    code.
+    the case. prepare() gets the deployment before it starts. With `settled` the
+    cases begin once seeds grant retries. Returns the exit code.
     """
     folder = tempfile.mkdtemp(prefix="e2e-platform-")
     deployment = Deployment(args.build, folder, port=args.port, **options)
@@ -99,6 +100,8 @@
     passed = failed = 0
     try:
         await deployment.up()
+        if settled:
+            await deployment.wait_for_reserve()
         for case in cases:
             if args.only and case.__name__ != args.only:
                 continue
--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -16,6 +16,9 @@
 from standin import Engine, Plain, Store  # noqa: E402
 
 START_TIMEOUT_S = 10
+# Time in which a seed grants no retries after its start, in windows, and the
+# time for which a permit is valid.
+RESERVE_WINDOWS, RESERVE_VALID_S = 1.1, 1.0
 # Timeouts of the routes to engines, to plain targets, and of route "slow".
 STREAM_TIMEOUT_MS = 4000
 PLAIN_TIMEOUT_MS = 800
@@ -218,6 +221,12 @@
                                    f"{START_TIMEOUT_S} s")
             await asyncio.sleep(0.05)
 
+    async def wait_for_reserve(self):
+        """Seeds grant nothing of the retry reserve until the window of what
+        their predecessors may have granted is over."""
+        await asyncio.sleep(self.retry_window_s * RESERVE_WINDOWS
+                            + RESERVE_VALID_S)
+
     async def is_ready(self, i):
         try:
             status, _, _, _ = await call(f"127.0.3.{i + 1}", self.port + 1,
--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -17,6 +17,7 @@
 #include "quarantine/exchange.h"
 #include "ratelimit/message.h"
 #include "ratelimit/quota_message.h"
+#include "ratelimit/retry_message.h"
 #include "residency/lease_message.h"
 #include "streams/message.h"
 #include "target_codec.h"
@@ -74,6 +75,20 @@
     CmLimitMessage_Finish(&message);
 }
 
+/// Encodes what was decoded, as a holder of the reserve and a claimant do.
+static void
+decode_retry_message(const char *text, size_t size)
+{
+    struct cm_retry_claim claim;
+    if (CmRetryClaim_Decode(&claim, text, size)) {
+        free(CmRetryClaim_Encode(&claim));
+    }
+    struct cm_retry_grant grant;
+    if (CmRetryGrant_Decode(&grant, CM_RETRY_WANTED_MAX, text, size)) {
+        free(CmRetryGrant_Encode(&grant));
+    }
+}
+
 /// Encodes what was decoded, as gateways do with accounts and amounts.
 static void
 decode_quota_message(const char *text, size_t size)
@@ -251,6 +266,7 @@
     decode_stream_message(text, size);
     split_prompt(text, size);
     decode_quota_message(text, size);
+    decode_retry_message(text, size);
     decode_head(text, size);
     decode_leases(text, size);
     feed_events(text, size);
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -30,6 +30,7 @@
 from limits import broken_limits  # noqa: E402
 from notices import Sent, broken_pauses, late_requests  # noqa: E402
 from proxy import Proxy  # noqa: E402
+from retries import worst_window  # noqa: E402
 from streams import Stream  # noqa: E402
 
 ADAPTERS = 14
@@ -60,6 +61,8 @@
 KEY, QUOTA_KEY = "key-of-steady", "key-of-limited"
 QUOTA_PER_S, QUOTA_BURST, QUOTA_SLACK = 4, 4, 10
 KEY_CHANGE_S = 2.5  # mean time between withdrawals
+# The retry budget with --small-budget, besides a fifth of the requests.
+BUDGET_WINDOW_S, BUDGET_RESERVE = 3, 6
 
 
 def crashing_body(route, number):
@@ -74,12 +77,14 @@
 
 class Soak:
     def __init__(self, args):
+        self.seed = args.seed
         self.random = random.Random(args.seed)
         self.seconds = args.seconds
         self.check_time_limits = not args.untimed
         # Draws of their own: those of the other faults stay as they are.
         self.account_random = random.Random(f"accounts {args.seed}")
         self.accounts = args.accounts
+        self.small_budget = args.small_budget
         self.keys = {}            # id to key
         self.newest_key = "key-of-changing-0"
         self.withdrawn_at = {}    # key to time
@@ -87,7 +92,10 @@
         self.deployment = Deployment(
             args.build, folder, engines=args.engines, plains=args.plains,
             gateways=args.gateways, adapter_slots=3, port=args.port,
-            gateway_settings=SETTINGS if args.accounts else "")
+            gateway_settings=SETTINGS if args.accounts else "",
+            **(dict(retry_window_s=BUDGET_WINDOW_S, retry_reserves=dict.fromkeys(
+                range(args.gateways), BUDGET_RESERVE))
+               if args.small_budget else {}))
         self.set_tenants()
         self.store_copies = []  # the last ones, oldest first
         self.insert_proxies()
@@ -575,6 +583,37 @@
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
         await asyncio.gather(*running_faults.values())
 
+    async def kill_gateways(self, down_s):
+        """Kills all gateways at once that have no other fault, and starts
+        them again."""
+        free = [gateway for gateway in self.deployment.gateways
+                if gateway.name not in self.disrupted_processes]
+        self.disrupted_processes.update(g.name for g in free)
+        for gateway in free:
+            self.record_fault(gateway.name)
+            await gateway.kill()
+        await asyncio.sleep(down_s)
+        for gateway in free:
+            await gateway.start()
+            self.record_fault(gateway.name)
+            self.disrupted_processes.discard(gateway.name)
+
+    async def refuse_often(self):
+        """With --small-budget, all targets refuse most requests for seconds,
+        and all gateways are killed at times meanwhile."""
+        targets = self.deployment.engines + self.deployment.plains
+        draw = random.Random(f"refusals {self.seed}")
+        while self.small_budget and not self.stopping:
+            await asyncio.sleep(draw.uniform(1, 4))
+            for target in targets:
+                target.rejection_rate = 0.9
+            await asyncio.sleep(draw.uniform(1, 3))
+            if draw.random() < 0.4:
+                await self.kill_gateways(draw.uniform(0, 1.5))
+            await asyncio.sleep(draw.uniform(0, 2))
+            for target in targets:
+                target.rejection_rate = 0.0
+
     # Checks after the last request.
 
     def check_runs(self):
@@ -600,9 +639,26 @@
                 lambda target, gateway, when: self.undisturbed(
                     f"gateway{gateway}", "links", since=when)):
             self.report_violation(text)
+        self.check_retries()
         if any(e.slots_exceeded for e in self.deployment.engines):
             self.report_violation("an engine got more loads than it has slots")
 
+    def check_retries(self):
+        """Checks the budget of repeated arrivals over all gateways, which no
+        fault excuses."""
+        if not self.small_budget:
+            return
+        sent_at = {request: sent[3] for request, sent in self.sent.items()}
+        for targets, adapters in ((self.deployment.engines, True),
+                                  (self.deployment.plains, False)):
+            text, excess, _ = worst_window(
+                targets, {request: when for request, when in sent_at.items()
+                          if (self.sent[request][1] is not None) == adapters},
+                BUDGET_RESERVE, BUDGET_WINDOW_S)
+            print(f"{targets[0].service}: {text}", flush=True)
+            if excess > 0:
+                self.report_violation(f"{targets[0].service}: {text}")
+
     def check_notices(self):
         """Checks that targets which said that they leave, or asked for a
         pause, got no requests from gateways without a fault since."""
@@ -703,6 +759,7 @@
                 target.crash_delay_s = self.random.choice([0.0, 0.05, 0.3])
             jobs = [asyncio.ensure_future(self.copy_store()),
                     asyncio.ensure_future(self.change_keys()),
+                    asyncio.ensure_future(self.refuse_often()),
                     asyncio.ensure_future(self.run_callers()),
                     asyncio.ensure_future(self.run_resuming_callers()),
                     asyncio.ensure_future(self.monitor_routes())]
@@ -736,6 +793,9 @@
     parser.add_argument("--accounts", action="store_true",
                         help="callers have keys, which are withdrawn, and "
                              "quotas")
+    parser.add_argument("--small-budget", action="store_true",
+                        help="a retry budget that the faults exhaust, checked "
+                             "over all gateways")
     args = parser.parse_args()
     soak = Soak(args)
     asyncio.run(soak.run())
