fix(dispatch): prefer other targets to one that is gone

What callers saw: while retries were denied, up to 41 of 60 requests were refused although half of the targets were sound. An address at which another incarnation runs answers each request with 421, and picks went on choosing it; only retries corrected that. Found by the test of odd entries, in the first seconds of a gateway.

--- a/packages/dispatch/include/dispatch/targets.h
+++ b/packages/dispatch/include/dispatch/targets.h
@@ -119,6 +119,10 @@
 void
 CmTarget_CountLost(struct cm_live_target *target, struct timespec now);
 
+/// Ejects a target at whose address another incarnation has answered.
+void
+CmTarget_CountAbsent(struct cm_live_target *target, struct timespec now);
+
 /// @return moving average of failures among the target's recent outcomes. The
 /// average decays while no outcome is counted.
 double
--- a/packages/dispatch/src/targets.c
+++ b/packages/dispatch/src/targets.c
@@ -418,6 +418,12 @@
     }
 }
 
+void
+CmTarget_CountAbsent(struct cm_live_target *target, struct timespec now)
+{
+    target->ejected_until = CmTime_AddMs(now, EJECT_MS);
+}
+
 void
 CmTarget_WriteIncarnation(const struct cm_live_target *target, char *name,
                           size_t size)
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -21,6 +21,7 @@
 #include "stream_versions.h"
 #include "successor.h"
 #include "target_call.h"
+#include "target_notices.h"
 #include "trial_claim.h"
 
 /// Stall timeouts after which a resumable stream fails over. Before the first
@@ -506,8 +507,11 @@
     else if (end == CM_ATTEMPT_FAILED) {
         CmTarget_CountAnswer(target, true, now);
     }
-    if (request->attempt.response.misdirected &&
-        request->parsed.adapter != NULL) {
+    if (TargetNotices_IsAbsent(request)) {
+        CmTarget_CountAbsent(target, now);
+    }
+    else if (request->attempt.response.misdirected &&
+             request->parsed.adapter != NULL) {
         CmTarget_SetResident(target, request->parsed.adapter, false, now);
     }
     Request_ExcludeTarget(request, target);
--- a/programs/coriandermoor/gateway/target_notices.c
+++ b/programs/coriandermoor/gateway/target_notices.c
@@ -19,6 +19,14 @@
            strcmp(response->instance, attempt->target->id) != 0;
 }
 
+bool
+TargetNotices_IsAbsent(const struct request *request)
+{
+    const struct attempt *attempt = &request->attempt;
+    return is_from_another(attempt) ||
+           (attempt->response.misdirected && request->parsed.model == NULL);
+}
+
 static void
 note_leaving(struct request *request)
 {
--- a/programs/coriandermoor/gateway/target_notices.h
+++ b/programs/coriandermoor/gateway/target_notices.h
@@ -7,6 +7,12 @@
 
 #include "gateway.h"
 
+/// @return whether another incarnation than the intended one has answered the
+/// request with status 421. A request for a model may get that from the
+/// intended one, too, which then names itself or nobody.
+bool
+TargetNotices_IsAbsent(const struct request *request);
+
 /// Reads the head of a target's response.
 void
 TargetNotices_CountResponse(struct request *request);
