--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -13,8 +13,10 @@
 
 BLOCK = 65536
 # Text in an object of the store that is sent as it is: JSON that json.dumps()
-# does not write, such as numbers out of range.
+# does not write, such as numbers out of range. It has ' for ".
 RAW_VALUE = re.compile(r'"raw\(([^"]*)\)"')
+# Text that is sent as bytes that are not UTF-8.
+NOT_UTF8 = "bytes that are not UTF-8"
 
 
 class Response:
@@ -251,7 +253,9 @@
     @staticmethod
     def json_response(value):
         return Response(200, {"Content-Type": "application/json"},
-                        RAW_VALUE.sub(r"\1", json.dumps(value)).encode())
+                        RAW_VALUE.sub(lambda found: found[1].replace("'", '"'),
+                                      json.dumps(value)).encode()
+                        .replace(NOT_UTF8.encode(), b"\xff\xfe"))
 
 
 class Target(Server):
