fix(gateway): trust no refusal that may be an earlier one

What callers saw: a request that must not be repeated was refused with 503, or ran at another target, too, while its target ran it.

Cause: a request that keeps its place may be sent to the same target again, on the same kept connection. A faulty target that writes its earlier refusal once more there names the same request id, so the copy was taken for the response to the new attempt. A refusal without an id was accepted wherever it arrived.

Change: an attempt at an address to which the request has been sent before uses a connection that has carried no call. A refusal that names no request counts as not run only on such a connection.

The stand-in's status 421 names the request, as all responses of the users' engines do.

--- a/packages/h1/include/h1/pool.h
+++ b/packages/h1/include/h1/pool.h
@@ -60,13 +60,15 @@
     struct cm_h1_pool_conn *pool_conn; ///< NULL while idle
     const struct cm_h1_call_handler *handler;
     void *context;
+    bool reused; ///< its connection has carried another call before
 };
 
 /// Request to send.
 struct cm_h1_call_request {
     const char *address; ///< IP:PORT
     const GString *message;
-    int64_t idle_max_ms; ///< reuse only connections idle for at most this
+    int64_t idle_max_ms; ///< use only connections idle for at most this
+    bool unused_only;    ///< use no connection that has carried a call
     bool no_body;        ///< a HEAD request
     /// Named in the message (CmH1Writer_CallId()): responses that name another
     /// one are skipped. 0 for none.
@@ -110,11 +112,10 @@
                  const char *address, const struct cm_h1_call_handler *handler,
                  void *context);
 
-/// @return whether a call to `address` that is started now would use an open
-/// connection.
+/// @return whether a call that is started now would use an open connection.
 bool
-CmH1Pool_HasConnection(struct cm_h1_pool *pool, const char *address,
-                       int64_t idle_max_ms);
+CmH1Pool_HasConnection(struct cm_h1_pool *pool,
+                       const struct cm_h1_call_request *request);
 
 /// Cancels a call: the connection is closed and no callback follows. Does
 /// nothing if no call is in progress.
--- a/packages/h1/src/pool.c
+++ b/packages/h1/src/pool.c
@@ -23,6 +23,7 @@
     struct event *connect_timer; ///< NULL once the connection is established
     bool established;
     bool connect_only;     ///< the call sends nothing
+    bool used;             ///< it has carried a call
     bool response_matches; ///< the message being read belongs to the call
     uint64_t call_id;      ///< that the request names, 0 for none
     int skipped_responses;
@@ -319,10 +320,11 @@
 
 /// Closes idle connections that are past their Keep-Alive timeout or have
 /// unexpected input, as of a second response to the call before.
-/// @return an idle connection that may be reused, still in the idle list, or
-/// NULL.
+/// @return an idle connection that the request may use, still in the idle
+/// list, or NULL.
 static struct cm_h1_pool_conn *
-find_idle_connection(struct cm_h1_peer *peer, int64_t idle_max_ms)
+find_idle_connection(struct cm_h1_peer *peer,
+                     const struct cm_h1_call_request *request)
 {
     struct timespec now = CmClock_Now(peer->pool->clock);
     struct cm_h1_pool_conn *pool_conn;
@@ -333,7 +335,8 @@
             has_ended(&pool_conn->conn)) {
             pool_conn_free(pool_conn);
         }
-        else if (idle_ms <= idle_max_ms) {
+        else if (idle_ms <= request->idle_max_ms &&
+                 !(request->unused_only && pool_conn->used)) {
             return pool_conn;
         }
     }
@@ -365,8 +368,7 @@
                const struct cm_h1_call_handler *call_handler, void *context)
 {
     struct cm_h1_peer *peer = find_peer(pool, request->address);
-    struct cm_h1_pool_conn *pool_conn =
-        find_idle_connection(peer, request->idle_max_ms);
+    struct cm_h1_pool_conn *pool_conn = find_idle_connection(peer, request);
     *call = (struct cm_h1_call){.handler = call_handler, .context = context};
     if (pool_conn != NULL) {
         LIST_REMOVE(pool_conn, link);
@@ -379,6 +381,8 @@
             return false;
         }
     }
+    call->reused = pool_conn->used;
+    pool_conn->used = true;
     pool_conn->call = call;
     pool_conn->response_matches = false;
     pool_conn->skipped_responses = 0;
@@ -412,10 +416,11 @@
 }
 
 bool
-CmH1Pool_HasConnection(struct cm_h1_pool *pool, const char *address,
-                       int64_t idle_max_ms)
+CmH1Pool_HasConnection(struct cm_h1_pool *pool,
+                       const struct cm_h1_call_request *request)
 {
-    return find_idle_connection(find_peer(pool, address), idle_max_ms) != NULL;
+    return find_idle_connection(find_peer(pool, request->address), request) !=
+           NULL;
 }
 
 void
--- a/packages/h1/tests/pool_test.c
+++ b/packages/h1/tests/pool_test.c
@@ -384,19 +384,27 @@
         }
         struct outcome outcome = {.base = base, .result = -1};
         struct cm_h1_call call;
-        CU_ASSERT_FALSE(CmH1Pool_HasConnection(&pool, server.address, 1000));
+        struct cm_h1_call_request reuse = {.address = server.address,
+                                           .idle_max_ms = 1000};
+        CU_ASSERT_FALSE(CmH1Pool_HasConnection(&pool, &reuse));
         CU_ASSERT_FATAL(CmH1Call_Connect(&call, &pool, server.address,
                                          &handler, &outcome));
         event_base_dispatch(base);
         CU_ASSERT_EQUAL(outcome.result, (int)cases[i].result);
         CU_ASSERT_FALSE(CmH1Call_Active(&call));
-        CU_ASSERT_EQUAL(CmH1Pool_HasConnection(&pool, server.address, 1000),
+        CU_ASSERT_EQUAL(CmH1Pool_HasConnection(&pool, &reuse),
+                        cases[i].listens);
+        reuse.unused_only = true;
+        CU_ASSERT_EQUAL(CmH1Pool_HasConnection(&pool, &reuse),
                         cases[i].listens);
         if (cases[i].listens) {
             make_call(&pool, server.address, &outcome);
             CU_ASSERT_EQUAL(outcome.result, CM_H1_CALL_COMPLETE);
             CU_ASSERT_STRING_EQUAL(outcome.body, "ab");
             CU_ASSERT_EQUAL(pool.connections_opened, 1);
+            CU_ASSERT_FALSE(CmH1Pool_HasConnection(&pool, &reuse));
+            reuse.unused_only = false;
+            CU_ASSERT_TRUE(CmH1Pool_HasConnection(&pool, &reuse));
         }
         CmH1Pool_Finish(&pool);
         if (cases[i].listens) {
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -451,6 +451,14 @@
             CmEventStream_AtBoundary(&request->events));
 }
 
+/// @return whether the response may belong to an earlier request on the same
+/// connection.
+static bool
+may_be_older(const struct attempt *attempt)
+{
+    return !attempt->response.names_request && attempt->call.reused;
+}
+
 static enum cm_attempt_end
 classify(const struct request *request, enum cm_h1_call_result end)
 {
@@ -459,7 +467,7 @@
     if (end == CM_H1_CALL_NOT_CONNECTED) {
         return CM_ATTEMPT_UNSENT;
     }
-    if (attempt->has_head && response->not_run) {
+    if (attempt->has_head && response->not_run && !may_be_older(attempt)) {
         return CM_ATTEMPT_REJECTED;
     }
     if (end == CM_H1_CALL_COMPLETE && response->has_stamp &&
@@ -564,6 +572,14 @@
         return;
     }
     enum cm_attempt_end attempt_end = classify(request, end);
+    if (request->attempt.has_head && request->attempt.response.not_run &&
+        attempt_end != CM_ATTEMPT_REJECTED) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "attempt", request->parsed.id,
+                    "%s: status %d, not executed, names no request: it may "
+                    "belong to an earlier one",
+                    request->attempt.target->id,
+                    request->attempt.response.status);
+    }
     if (end == CM_H1_CALL_INTERRUPTED && attempt_end == CM_ATTEMPT_LOST &&
         !request->attempt.response.has_pause) {
         CrashWatch_CountCutOff(request);
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -126,6 +126,9 @@
     struct cm_live_target *target; ///< to which it connects; NULL for none
 };
 
+/// Attempts whose addresses a request remembers.
+#define CM_SENT_TO_MAX 16
+
 struct request {
     struct caller_conn *caller;
     struct gateway *gateway;
@@ -161,6 +164,8 @@
     struct cm_live_target *excluded[CM_EXCLUDED_MAX];
     size_t n_excluded;
     int sends; ///< attempts sent to targets
+    /// Hashes of the addresses to which the first of them were sent.
+    uint64_t sent_to[CM_SENT_TO_MAX];
     struct cm_wait_limit wait_limit;
     /// Has waited for starting engines, or keeps its place.
     bool waited;
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -3,6 +3,7 @@
 
 #include "target_call.h"
 
+#include "base/hash.h"
 #include "crash_watch.h"
 #include "lease.h"
 #include "rate_limits.h"
@@ -179,20 +180,56 @@
 static const struct cm_h1_call_handler call_handler = {on_head, on_body,
                                                        on_end};
 
-static int64_t
-idle_max_ms(const struct request *request)
+/// @return whether the request has been sent to the target's address before.
+static bool
+was_sent_to(const struct request *request, const struct cm_live_target *target)
+{
+    if (request->sends > CM_SENT_TO_MAX) {
+        return true;
+    }
+    uint64_t hash = CmHash_Text(target->address, 0);
+    for (int i = 0; i < request->sends; i++) {
+        if (request->sent_to[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return a call without its message. On a connection that has carried the
+/// request before, the target may write its former response once more, which
+/// names the same request.
+static struct cm_h1_call_request
+compose_call(const struct request *request,
+             const struct cm_live_target *target)
 {
-    return request->route->retry_mode == CM_RETRY_MODE_NEVER
-               ? IDLE_NO_RETRY_MAX_MS
-               : IDLE_RETRY_MAX_MS;
+    const struct cm_route *route = request->route;
+    return (struct cm_h1_call_request){
+        .address = target->address,
+        .idle_max_ms = route->retry_mode == CM_RETRY_MODE_NEVER
+                           ? IDLE_NO_RETRY_MAX_MS
+                           : IDLE_RETRY_MAX_MS,
+        .unused_only = was_sent_to(request, target),
+        .body_max_bytes = route->stream ? 0 : BODY_MAX_BYTES,
+    };
 }
 
 bool
 TargetCall_HasConnection(const struct request *request,
                          const struct cm_live_target *target)
 {
-    return CmH1Pool_HasConnection(&request->gateway->pool, target->address,
-                                  idle_max_ms(request));
+    struct cm_h1_call_request call = compose_call(request, target);
+    return CmH1Pool_HasConnection(&request->gateway->pool, &call);
+}
+
+static void
+count_send(struct request *request, const struct cm_live_target *target)
+{
+    if (request->sends < CM_SENT_TO_MAX) {
+        request->sent_to[request->sends] = CmHash_Text(target->address, 0);
+    }
+    request->sends++;
+    request->gateway->count.sends.value++;
 }
 
 bool
@@ -200,7 +237,6 @@
 {
     struct attempt *attempt = &request->attempt;
     struct gateway *gateway = request->gateway;
-    const struct cm_route *route = request->route;
     release_target(request);
     const char *adapter = request->parsed.adapter;
     struct timespec now = Gateway_Now(gateway);
@@ -232,24 +268,19 @@
     attempt->first_event_at = (struct timespec){0};
     attempt->parts_cleared = false;
     request->binding.by_attempt = false;
-    struct cm_h1_call_request call = {
-        .address = target->address,
-        .message = message,
-        .idle_max_ms = idle_max_ms(request),
-        .body_max_bytes = route->stream ? 0 : BODY_MAX_BYTES,
-    };
+    struct cm_h1_call_request call = compose_call(request, target);
+    call.message = message;
     bool started = CmH1Call_Start(&attempt->call, &gateway->pool, &call,
                                   &call_handler, request);
     if (started) {
         attempt->target = CmTarget_Ref(target);
         target->in_flight++;
-        request->sends++;
+        count_send(request, target);
         Lease_HandOver(request);
         RateLimits_CountSend(request, target);
         if (request->parsed.model != NULL) {
             CmTarget_AddPrompt(target, request->parsed.prompt_tokens, now);
         }
-        gateway->count.sends.value++;
     }
     g_string_free(message, TRUE);
     return started;
--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -395,7 +395,8 @@
         expected = headers.get("x-expect-instance")
         if expected is not None and expected != self.id:
             return self.finish(headers, Response(
-                421, {"X-Instance-Id": self.id}))
+                421, {"X-Instance-Id": self.id,
+                      "X-Request-Id": headers.get("x-request-id", "")}))
         return None
 
     def ask_for_pause(self, pause_s):
