fix(ratelimit): count each retry that is sent

A request could leave the window in the microseconds between the check and the send of a retry that it had allowed; the retry was then counted nowhere. Found by reading, not seen; retry_budget_test and e2e-retry-budget pass as before.

--- a/packages/ratelimit/include/ratelimit/retry_window.h
+++ b/packages/ratelimit/include/ratelimit/retry_window.h
@@ -51,10 +51,9 @@
 bool
 CmRetryWindow_Allows(struct cm_retry_window *window, struct timespec now);
 
-/// Counts one retry if the requests allow it.
-/// @return whether they do.
-bool
-CmRetryWindow_Consume(struct cm_retry_window *window, struct timespec now);
+/// Counts one retry, whether or not the requests allow it.
+void
+CmRetryWindow_CountRetry(struct cm_retry_window *window, struct timespec now);
 
 struct cm_retry_figures
 CmRetryWindow_Figures(struct cm_retry_window *window, struct timespec now);
--- a/packages/ratelimit/src/retry_window.c
+++ b/packages/ratelimit/src/retry_window.c
@@ -107,14 +107,11 @@
     return true;
 }
 
-bool
-CmRetryWindow_Consume(struct cm_retry_window *window, struct timespec now)
+void
+CmRetryWindow_CountRetry(struct cm_retry_window *window, struct timespec now)
 {
-    if (!CmRetryWindow_Allows(window, now)) {
-        return false;
-    }
+    advance(window, now);
     window->retries[index_at(window, 0)]++;
-    return true;
 }
 
 struct cm_retry_figures
--- a/packages/ratelimit/tests/simulated_retries.c
+++ b/packages/ratelimit/tests/simulated_retries.c
@@ -147,7 +147,8 @@
         gateway->late = 0;
     }
     while (sent < wanted &&
-           CmRetryWindow_Consume(&gateway->window, fleet->now)) {
+           CmRetryWindow_Allows(&gateway->window, fleet->now)) {
+        CmRetryWindow_CountRetry(&gateway->window, fleet->now);
         sent++;
     }
     while (sent + gateway->late < wanted && claim(fleet, number)) {
--- a/programs/coriandermoor/gateway/retry_budget.c
+++ b/programs/coriandermoor/gateway/retry_budget.c
@@ -382,14 +382,18 @@
         return;
     }
     struct gateway *gateway = request->gateway;
+    struct cm_retry_window *window = &budget_of(request)->window;
+    struct timespec now = boot_time(gateway);
     gateway->count.retries_sent.value++;
-    if (CmRetryWindow_Consume(&budget_of(request)->window,
-                              boot_time(gateway))) {
-        give_back(request);
+    if (request->retry_permit.permit.held &&
+        !CmRetryWindow_Allows(window, now)) {
+        request->retry_permit.permit.held = false;
+        gateway->count.retries_by_permit.value++;
         return;
     }
-    request->retry_permit.permit.held = false;
-    gateway->count.retries_by_permit.value++;
+    // Counts even if a request has left the window since it allowed the retry.
+    CmRetryWindow_CountRetry(window, now);
+    give_back(request);
 }
 
 void
