Review case 4: ten engines name a limit

Cause: with four engines all of them had one arbiter in one run of some twenty, and the case held, as the arbiters are drawn by the addresses.

Case: six model engines name the limit, too; their clients ask the base model. Records of all cases list what the engines ran.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,12 +13,13 @@
 import harness  # noqa: E402
 from limits import broken_limits  # noqa: E402
 
-GATEWAYS = 4
+GATEWAYS, ENGINES, PLAINS = 4, 6, 4
 REPLACED = (0, 1)       # of the machines 0 to 3, by 4 and 5
 LIMIT_PER_S = 3.0
 PLAY_S = 30
-# The sheet's rates of the two plain kinds of request.
-LEDGER_PER_S, LOOKUP_PER_S = 22.9, 9.2
+# The sheet's rates of the two plain kinds of request, and a part of that of
+# streams (91.8).
+LEDGER_PER_S, LOOKUP_PER_S, STREAMS_PER_S = 22.9, 9.2, 50.0
 # Time until the new machines are in touch and the clients use them.
 SETTLE_S = 6
 
@@ -30,9 +31,16 @@
         gateway = random.choice(gateways)
         number = fleet.number + 1
         gateway_of[f"{number:016x}"] = gateway
-        _, (status, headers, _, _) = await fleet.send(
-            gateway, "POST" if kind == "book" else "GET", f"/{kind}/1",
-            body=b"x" if kind == "book" else b"")
+        if kind == "report":
+            _, (status, headers, _, _) = await fleet.send(
+                gateway, "POST", "/report/1",
+                {"X-Model": "m", "X-Token-Usage": "1110,6",
+                 "X-Prompt-Prefix": "a1:350,b%x:760" % number}, b"prompt",
+                4000)
+        else:
+            _, (status, headers, _, _) = await fleet.send(
+                gateway, "POST" if kind == "book" else "GET", f"/{kind}/1",
+                body=b"x" if kind == "book" else b"")
         if status not in (429, 503) or "retry-after" not in headers:
             return
         await asyncio.sleep(min(float(headers["retry-after"]), 0.4))
@@ -72,23 +80,25 @@
 
     async def name_limits():
         await asyncio.sleep(SETTLE_S)
-        for target in fleet.plains:
+        for target in fleet.plains + fleet.engines:
             target.server_limit = LIMIT_PER_S
         fleet.record.write(f"all engines name a limit of {LIMIT_PER_S}")
     await asyncio.gather(keep_asking("book", LEDGER_PER_S),
-                         keep_asking("status", LOOKUP_PER_S), name_limits())
+                         keep_asking("status", LOOKUP_PER_S),
+                         keep_asking("report", STREAMS_PER_S), name_limits())
     await asyncio.gather(*jobs)
-    for target in fleet.plains:
+    targets = fleet.plains + fleet.engines
+    for target in targets:
         for request, _, when in target.arrivals:
             fleet.record.write(f"{request} reached {target.host} at "
                                f"{when - fleet.record.start:.3f}")
-    broken = broken_limits(fleet.plains, gateway_of)
+    broken = broken_limits(targets, gateway_of)
     for text in broken:
         fleet.record.result(text)
     fleet.record.result(f"LIMIT broken at {len(broken)} of "
-                        f"{len(fleet.plains)} engines")
+                        f"{len(targets)} engines")
     return harness.BROKEN if broken else harness.HELD
 
 
 harness.main(HERE, play, site="triangel-koordinate", gateways=GATEWAYS,
-             engines=0, plains=4)
+             engines=ENGINES, plains=PLAINS)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -430,6 +430,8 @@
             await fleet.up()
             return await asyncio.wait_for(play(fleet), PLAY_MAX_S)
         finally:
+            for text in fleet.runs():
+                fleet.record.write(f"run {text}")
             await fleet.down()
             fleet.record.file.close()
             if "KEEP_LOGS" in os.environ:
