fix(gateway): introduce gateways that have no seed in common through agents

A target's limit was granted twice, and an account used 248,000 tokens in 8 s of 237,000 allowed, 648,000 in 24 s, after all seeds had been replaced at once.

Cause: gateways found each other through seeds alone. A gateway that keeps the settings of its start, none of whose seeds is left, and new gateways whose settings name only each other never hear of each other, so that each side decides for all and counts only its own gateways as owners of quotas.

Change: each gateway tells its control address to the two agents that all of them choose by hash, every second for its first 10 s and every 5 s later (less often beyond 40 gateways). The agents answer with those that came last. One datagram each way; gateways named by an agent are polled like others.

Why it works: whatever serves requests has the targets' list, from the store or from a gateway that is in touch, and so the same agents.

--- a/packages/peers/tests/roster_test.c
+++ b/packages/peers/tests/roster_test.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "cm_test.h"
+#include "peers/introduction.h"
 
 #define START_MS 1000000
 #define OLD_MS 60000
@@ -249,12 +250,71 @@
     fixture_finish(&fixture);
 }
 
+/// Two gateways that know nobody else find each other.
+static void
+test_introductions(void)
+{
+    struct cm_manual_clock clock;
+    CmManualClock_Init(&clock);
+    struct cm_introducer introducer;
+    CmIntroducer_Init(&introducer, &clock.base);
+    struct cm_introduction answer;
+    for (int i = 0; i < 600; i++) {
+        struct cm_introduction introduction = {.n = 1};
+        g_snprintf(introduction.gateways[0], CM_PEER_ADDRESS_SIZE, "10.0.%d:1",
+                   i);
+        char data[CM_INTRODUCTION_MAX];
+        size_t size = CmIntroduction_Encode(&introduction, data);
+        struct cm_introduction received;
+        CU_ASSERT_TRUE(CmIntroduction_Decode(&received, data, size));
+        CmIntroducer_Answer(&introducer, &received, &answer);
+        CU_ASSERT_EQUAL(answer.n, MIN(i, CM_INTRODUCTION_GATEWAYS_MAX));
+        size = CmIntroduction_Encode(&answer, data);
+        CU_ASSERT_TRUE(CmIntroduction_Decode(&received, data, size));
+        CU_ASSERT_TRUE(received.is_answer);
+        CU_ASSERT_EQUAL(received.n, answer.n);
+    }
+    CU_ASSERT_STRING_EQUAL(answer.gateways[0], "10.0.598:1");
+    CU_ASSERT_TRUE(g_hash_table_size(introducer.gateways) <= 512);
+    CmManualClock_Advance(&clock, 600000);
+    struct cm_introduction late = {.n = 1, .gateways = {"late"}};
+    CmIntroducer_Answer(&introducer, &late, &answer);
+    CU_ASSERT_EQUAL(g_hash_table_size(introducer.gateways), 1);
+    CmIntroducer_Finish(&introducer);
+}
+
+static void
+test_malformed_introductions(void)
+{
+    static const char *const cases[] = {
+        "",
+        "{",
+        "{}",
+        "[]",
+        "{\"gateway\":1}",
+        "{\"gateway\":\"\"}",
+        "{\"gateways\":{}}",
+        "{\"gateways\":[1]}",
+        "{\"gateways\":[\"a\",\"a\",\"a\",\"a\",\"a\",\"a\",\"a\",\"a\","
+        "\"a\"]}",
+        "{\"gateway\":\"0123456789012345678901234567890123456789012345678901"
+        "234567890123\"}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_introduction introduction;
+        CU_ASSERT_FALSE(
+            CmIntroduction_Decode(&introduction, cases[i], strlen(cases[i])));
+    }
+}
+
 static const struct cm_test tests[] = {
     {"news", test_news},
     {"seeds are replaced", test_seeds_are_replaced},
     {"counted since", test_counted_since},
     {"interruptions", test_interruptions},
     {"changes are told first", test_changes_are_told_first},
+    {"introductions", test_introductions},
+    {"malformed introductions", test_malformed_introductions},
 };
 
 CM_TEST_MAIN("roster", tests)
--- a/packages/quarantine/tests/simulated_gateways.c
+++ b/packages/quarantine/tests/simulated_gateways.c
@@ -70,6 +70,7 @@
                   gateway->address, gateway->random);
     SimFleet_SetSeeds(fleet, i, seeds, (size_t)MIN(SEEDS, fleet->n_gateways));
     gateway->next_poll_ms = SimFleet_NowMs(fleet);
+    gateway->next_introduction_ms = SimFleet_NowMs(fleet);
     gateway->started_ms = SimFleet_NowMs(fleet);
 }
 
@@ -123,6 +124,7 @@
     CmManualClock_Init(&fleet->clock);
     CmManualClock_Advance(&fleet->clock, START_MS);
     fleet->start = fleet->clock.now;
+    CmIntroducer_Init(&fleet->introducer, &fleet->clock.base);
     for (int i = 0; i < n_gateways; i++) {
         start_gateway(fleet, i);
         fleet->gateways[i].cut = i % 3 == 0;
@@ -148,6 +150,7 @@
     for (int i = 0; i < fleet->n_gateways; i++) {
         stop_gateway(fleet, i);
     }
+    CmIntroducer_Finish(&fleet->introducer);
     g_rand_free(fleet->random);
     g_free(fleet);
 }
@@ -249,6 +252,28 @@
     }
 }
 
+/// Introduces a gateway to the others.
+static void
+introduce(struct sim_fleet *fleet, struct sim_gateway *gateway)
+{
+    int64_t now = SimFleet_NowMs(fleet);
+    if (now < gateway->next_introduction_ms) {
+        return;
+    }
+    struct cm_roster *roster = &gateway->gossip.roster;
+    gateway->next_introduction_ms =
+        now + CmIntroduction_IntervalMs(now - gateway->started_ms,
+                                        roster->peers->len + 1);
+    struct cm_introduction introduction = {.n = 1};
+    struct cm_introduction answer;
+    g_strlcpy(introduction.gateways[0], gateway->address,
+              sizeof(introduction.gateways[0]));
+    CmIntroducer_Answer(&fleet->introducer, &introduction, &answer);
+    for (size_t i = 0; i < answer.n; i++) {
+        CmRoster_Add(roster, answer.gateways[i]);
+    }
+}
+
 static void
 run_gateway(struct sim_fleet *fleet, int i)
 {
@@ -259,6 +284,7 @@
         return;
     }
     CmRoster_Tick(&gateway->gossip.roster);
+    introduce(fleet, gateway);
     CmExchange_Init(&exchange, gateway->address, 0);
     if (SimFleet_NowMs(fleet) % PUSH_MS == 0 &&
         CmGossip_ComposePush(&gateway->gossip, fleet->clock.now, &exchange)) {
--- a/packages/quarantine/tests/simulated_gateways.h
+++ b/packages/quarantine/tests/simulated_gateways.h
@@ -5,6 +5,7 @@
 #define SIMULATED_GATEWAYS_H
 
 #include "base/clock.h"
+#include "peers/introduction.h"
 #include "quarantine/trial.h"
 
 #define SIM_GATEWAYS_MAX 420
@@ -24,6 +25,7 @@
     GRand *random;
     char address[CM_CRASH_NAME_SIZE];
     int64_t next_poll_ms;
+    int64_t next_introduction_ms;
     int64_t started_ms;
     bool down;
     bool cut; ///< its messages reach only other gateways that are cut
@@ -39,6 +41,7 @@
     GRand *random;
     struct sim_gateway gateways[SIM_GATEWAYS_MAX];
     TAILQ_HEAD(, sim_transit) transits;
+    struct cm_introducer introducer; ///< agents, as far as all reach them
     size_t messages;
     size_t bytes;
     /// Told of the answer to a claim; NULL if there are none.
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -20,6 +20,7 @@
 #include "engine_codec.h"
 #include "h1/listener.h"
 #include "h1/pool.h"
+#include "peers/introduction.h"
 #include "residency/engine_room.h"
 #include "residency/unacked_loads.h"
 #include "residency/incarnation.h"
@@ -86,6 +87,7 @@
     struct cm_h1_listener admin_listener;
     struct cm_datagram_port stream_port;
     struct cm_stream_records stream_records;
+    struct cm_introducer introducer; ///< of gateways to each other
     struct event *prefill_timer; ///< next grant of a lease that is held back
     /// Address for load reports to struct timespec of its gateway's last lease
     /// request.
@@ -126,6 +128,7 @@
     struct cm_counter leases_active;
     struct cm_counter stream_lookups;
     struct cm_counter load_reports;
+    struct cm_counter introductions;
 };
 
 /// @return monotonic time.
--- a/programs/coriandermoor-agent/slots/stream_holder.c
+++ b/programs/coriandermoor-agent/slots/stream_holder.c
@@ -1,5 +1,6 @@
 /// @file stream_holder.c
-/// Keeps the records that gateways send, and answers their lookups.
+/// Answers the datagrams of gateways: keeps the records that they send,
+/// answers their lookups, and introduces them to each other.
 
 #include "stream_holder.h"
 
@@ -24,10 +25,32 @@
     slots->stream_lookups.value++;
 }
 
+static void
+introduce(struct slots *slots, const char *address, const char *data,
+          size_t size)
+{
+    struct cm_introduction introduction;
+    struct cm_introduction answer;
+    char text[CM_INTRODUCTION_MAX];
+    if (!CmIntroduction_Decode(&introduction, data, size)) {
+        return;
+    }
+    CmIntroducer_Answer(&slots->introducer, &introduction, &answer);
+    if (answer.n > 0) {
+        CmDatagramPort_Send(&slots->stream_port, address, text,
+                            CmIntroduction_Encode(&answer, text));
+    }
+    slots->introductions.value++;
+}
+
 static void
 on_datagram(void *context, const char *address, const char *data, size_t size)
 {
     struct slots *slots = context;
+    if (size > 0 && data[0] == CM_INTRODUCTION_MARK) {
+        introduce(slots, address, data, size);
+        return;
+    }
     struct cm_stream_message message;
     if (!CmStreamMessage_Decode(&message, data, size)) {
         return;
@@ -46,6 +69,10 @@
 {
     slots->stream_port.fd = -1;
     CmStreamRecords_Init(&slots->stream_records);
+    CmIntroducer_Init(&slots->introducer, slots->clock);
+    CmCounters_Add(&slots->counters, &slots->introductions,
+                   "cm_agent_introductions_total",
+                   "Introductions of gateways that this agent answered.");
     CmCounters_Add(&slots->counters, &slots->stream_lookups,
                    "cm_agent_stream_lookups_total",
                    "Lookups of streams that gateways asked for.");
@@ -69,5 +96,6 @@
 StreamHolder_Finish(struct slots *slots)
 {
     CmDatagramPort_Finish(&slots->stream_port);
+    CmIntroducer_Finish(&slots->introducer);
     CmStreamRecords_Finish(&slots->stream_records);
 }
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -332,6 +332,9 @@
     CmCounters_Add(all, &count->contested_grants,
                    "cm_gateway_contested_grants_total",
                    "Claims answered while another gateway may decide, too.");
+    CmCounters_Add(all, &count->introductions,
+                   "cm_gateway_introductions_total",
+                   "Datagrams to agents that introduce gateways.");
     CmCounters_Add(all, &count->leases, "cm_gateway_leases_total",
                    "Adapters asked for at agents.");
     CmCounters_Add(all, &count->store_restores,
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -8,7 +8,8 @@
 /// over from a silent one. responses.c writes to the caller. crash_watch.c
 /// finds contents that crash their targets, prompt_parts.c parts of prompts
 /// that do, trial_claim.c has suspects run alone, and peer_gossip.c shares
-/// records with other gateways, and what it knows of them.
+/// records with other gateways, and what it knows of them; introductions.c
+/// finds gateways that share no seed with this one.
 /// rate_limits.c keeps the rate limits that targets name, and peer_call.c
 /// carries the messages between gateways. target_notices.c records what else
 /// targets say of themselves.
@@ -105,6 +106,7 @@
     struct cm_counter quota_refusals;
     struct cm_counter quota_reports;
     struct cm_counter quota_grants;
+    struct cm_counter introductions;
     struct cm_counter peers;
     struct cm_counter candidates;
     struct cm_counter contested_grants;
@@ -160,6 +162,7 @@
     struct cm_quarantine quarantine;
     struct cm_gossip gossip;
     LIST_HEAD(, gossip_call) gossip_calls;
+    struct timespec introduction_at; ///< next one to agents
     struct cm_limit_table limits;    ///< that targets name
     struct cm_rate_arbiter rate_arbiter;
     struct cm_rate_permits rate_permits;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -19,6 +19,7 @@
 #include "crash_watch.h"
 #include "endpoints.h"
 #include "gateway.h"
+#include "introductions.h"
 #include "lease.h"
 #include "peer_fetch.h"
 #include "peer_gossip.h"
@@ -173,6 +174,7 @@
     if (gateway->ticks++ % POLL_TICKS == 0 || !gateway->gossip.synced) {
         PeerGossip_Poll(gateway);
     }
+    Introductions_Tick(gateway);
     Admission_Tick(gateway);
     RateLimits_Tick(gateway);
     Quotas_Tick(gateway);
--- a/programs/coriandermoor/gateway/stream_versions.c
+++ b/programs/coriandermoor/gateway/stream_versions.c
@@ -10,7 +10,9 @@
 #include "base/log.h"
 #include "dispatch/notices.h"
 #include "dispatch/retry_after.h"
+#include "introductions.h"
 #include "load_reports.h"
+#include "peers/introduction.h"
 #include "placement.h"
 #include "request.h"
 #include "responses.h"
@@ -387,6 +389,10 @@
         LoadReports_Apply(gateway, data, size);
         return;
     }
+    if (size > 0 && data[0] == CM_INTRODUCTION_MARK) {
+        Introductions_Apply(gateway, data, size);
+        return;
+    }
     struct cm_stream_message message;
     if (!CmStreamMessage_Decode(&message, data, size) ||
         (message.kind != CM_STREAM_KNOWN &&
