fix(budget): split the retry reserve among all candidates

A service got 142 repeats in 4 s for 240 requests, 108 allowed, after gateways with other seeds had been added while the first seeds still ran.

Cause: each seed granted `retry_reserve` divided by the number of seeds in its own settings. With seeds [0, 1, 2] and [4, 5, 2] five gateways hold a third each, and each gateway claims at its own three, so that the whole adds up to five thirds. docs/design/retry-budget.md listed it as a known limit.

Change: the holders are the candidates of the roster, and the part of each is the reserve divided by their number, those included that don't respond. A candidate that the others did not know before grants nothing until they have heard of it (8 s) and their grants of larger parts have left the window. Claims go to holders by address; those that don't respond are passed over.

Why it works: all gateways count the same candidates within 8 s, and a candidate that is lost or cut off keeps its part for 10 minutes, so that the parts of all never add up to more than the reserve.

--- a/packages/ratelimit/include/ratelimit/retry_permits.h
+++ b/packages/ratelimit/include/ratelimit/retry_permits.h
@@ -10,8 +10,8 @@
 
 #include "ratelimit/retry_reserve.h"
 
-/// Most holders of parts of a reserve.
-#define CM_RETRY_HOLDERS_MAX 8
+/// Most holders of parts of a reserve that a gateway asks.
+#define CM_RETRY_HOLDERS_MAX 16
 /// Time for which a holder that did not answer is not asked again.
 #define CM_RETRY_SILENT_MS 2000
 
@@ -24,9 +24,14 @@
     struct timespec until;
 };
 
+/// The holders that a gateway may ask, by their addresses.
+struct cm_retry_holders {
+    size_t n;
+    const char *addresses[CM_RETRY_HOLDERS_MAX];
+};
+
 struct cm_retry_permits {
     GHashTable *services; ///< name to its state
-    size_t n_holders;
     size_t first; ///< holder that is asked first: not the same at all gateways
     /// What this gateway uses of the reserves. Its own settings limit that,
     /// too, whatever the holders' ones are.
@@ -35,17 +40,18 @@
 
 /// @param first any number.
 void
-CmRetryPermits_Init(struct cm_retry_permits *permits, size_t n_holders,
-                    size_t first, struct timespec now);
+CmRetryPermits_Init(struct cm_retry_permits *permits, size_t first,
+                    struct timespec now);
 
 void
 CmRetryPermits_Finish(struct cm_retry_permits *permits);
 
 /// @param reserve the whole reserve, by this gateway's settings.
-/// @return the holder to claim at, or CM_RETRY_NO_HOLDER.
+/// @return index of the holder to claim at, or CM_RETRY_NO_HOLDER.
 int
 CmRetryPermits_ChooseHolder(struct cm_retry_permits *permits,
                             const char *service,
+                            const struct cm_retry_holders *holders,
                             const struct cm_retry_part *reserve,
                             struct timespec now);
 
@@ -56,11 +62,12 @@
                       struct timespec now);
 
 /// Applies the answer to a claim.
+/// @param holder its address.
 /// @param grant NULL for no answer.
 /// @param claimed_at when the claim was sent: permits are valid from then on.
 void
 CmRetryPermits_Apply(struct cm_retry_permits *permits, const char *service,
-                     int holder, const struct cm_retry_grant *grant,
+                     const char *holder, const struct cm_retry_grant *grant,
                      const struct cm_retry_part *reserve,
                      struct timespec claimed_at, struct timespec now);
 
--- a/packages/ratelimit/include/ratelimit/retry_reserve.h
+++ b/packages/ratelimit/include/ratelimit/retry_reserve.h
@@ -1,9 +1,11 @@
 /// @file retry_reserve.h
-/// The reserve of retries of a service, which all gateways share. Each seed
-/// holds a fixed part of it and grants permits from that; a gateway that is
-/// not a seed holds nothing. Parts need no agreement between the seeds, so
-/// they add up to at most the reserve whichever of the gateways run, how many
-/// they are, and whom each of them reaches. Pure.
+/// The reserve of retries of a service, which all gateways share. Each
+/// candidate (peers/roster.h) holds an equal part of it and grants permits
+/// from that; other gateways hold nothing. The parts of candidates that are
+/// lost or cut off are left unused, so that those of all add up to at most the
+/// reserve whichever of the gateways run, how many they are, and whom each of
+/// them reaches. A candidate that is new grants nothing until the others have
+/// heard of it, and until what they granted of larger parts is over. Pure.
 
 #ifndef RATELIMIT_RETRY_RESERVE_H
 #define RATELIMIT_RETRY_RESERVE_H
@@ -58,6 +60,12 @@
 void
 CmRetryReserve_Finish(struct cm_retry_reserve *reserve);
 
+/// Grants nothing until permits that were granted by `time` have left the
+/// window.
+void
+CmRetryReserve_WaitFrom(struct cm_retry_reserve *reserve,
+                        struct timespec time);
+
 /// Grants at most what the claim asks for.
 struct cm_retry_grant
 CmRetryReserve_Grant(struct cm_retry_reserve *reserve,
--- a/packages/ratelimit/src/retry_permits.c
+++ b/packages/ratelimit/src/retry_permits.c
@@ -1,10 +1,10 @@
 /// @file retry_permits.c
 /// Permits of one gateway for retries.
 ///
-/// Load pattern: retry_reserve.c. Claims wait for each other, so that one
-/// message carries what all waiting requests need. A holder that has nothing
-/// left says when to come back; until then the other ones are asked, and if
-/// none is left, retries are denied at once.
+/// Load pattern: retry_reserve.c. Holders come and go. Claims wait for each
+/// other, so that one message carries what all waiting requests need. A holder
+/// that has nothing left says when to come back; until then the other ones are
+/// asked, and if none is left, retries are denied at once.
 
 #include "ratelimit/retry_permits.h"
 
@@ -14,17 +14,24 @@
     char name[CM_RETRY_NAME_SIZE];
     int spare; ///< permits that no request holds
     struct timespec spare_until;
-    struct timespec blocked_until[CM_RETRY_HOLDERS_MAX];
+    GHashTable *blocked; ///< holder to struct timespec, the end of its block
 };
 
+static void
+service_free(void *value)
+{
+    struct service *service = value;
+    g_hash_table_destroy(service->blocked);
+    g_free(service);
+}
+
 void
-CmRetryPermits_Init(struct cm_retry_permits *permits, size_t n_holders,
-                    size_t first, struct timespec now)
+CmRetryPermits_Init(struct cm_retry_permits *permits, size_t first,
+                    struct timespec now)
 {
-    *permits = (struct cm_retry_permits){
-        .n_holders = MIN(n_holders, CM_RETRY_HOLDERS_MAX), .first = first};
+    *permits = (struct cm_retry_permits){.first = first};
     permits->services =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
     CmRetryReserve_Init(&permits->used, now);
 }
 
@@ -42,14 +49,34 @@
     if (service == NULL) {
         service = g_new0(struct service, 1);
         g_strlcpy(service->name, name, sizeof(service->name));
+        service->blocked =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(permits->services, service->name, service);
     }
     return service;
 }
 
+static bool
+is_blocked(const struct service *service, const char *holder,
+           struct timespec now)
+{
+    const struct timespec *until =
+        g_hash_table_lookup(service->blocked, holder);
+    return until != NULL && CmTime_Before(now, *until);
+}
+
+static void
+block(struct service *service, const char *holder, struct timespec until)
+{
+    struct timespec *blocked_until = g_new(struct timespec, 1);
+    *blocked_until = until;
+    g_hash_table_replace(service->blocked, g_strdup(holder), blocked_until);
+}
+
 int
 CmRetryPermits_ChooseHolder(struct cm_retry_permits *permits,
                             const char *service_name,
+                            const struct cm_retry_holders *holders,
                             const struct cm_retry_part *reserve,
                             struct timespec now)
 {
@@ -57,9 +84,9 @@
         return CM_RETRY_NO_HOLDER;
     }
     const struct service *service = find_or_add(permits, service_name);
-    for (size_t i = 0; i < permits->n_holders; i++) {
-        size_t holder = (permits->first + i) % permits->n_holders;
-        if (!CmTime_Before(now, service->blocked_until[holder])) {
+    for (size_t i = 0; i < holders->n; i++) {
+        size_t holder = (permits->first + i) % holders->n;
+        if (!is_blocked(service, holders->addresses[holder], now)) {
             return (int)holder;
         }
     }
@@ -90,18 +117,18 @@
 
 void
 CmRetryPermits_Apply(struct cm_retry_permits *permits,
-                     const char *service_name, int holder,
+                     const char *service_name, const char *holder,
                      const struct cm_retry_grant *grant,
                      const struct cm_retry_part *reserve,
                      struct timespec claimed_at, struct timespec now)
 {
     struct service *service = find_or_add(permits, service_name);
     if (grant == NULL) {
-        service->blocked_until[holder] = CmTime_AddMs(now, CM_RETRY_SILENT_MS);
+        block(service, holder, CmTime_AddMs(now, CM_RETRY_SILENT_MS));
         return;
     }
     if (grant->retry_ms > 0) {
-        service->blocked_until[holder] = CmTime_AddMs(now, grant->retry_ms);
+        block(service, holder, CmTime_AddMs(now, grant->retry_ms));
     }
     if (grant->permits > 0) {
         add_spare(service, grant->permits,
@@ -142,16 +169,11 @@
     return permit->held && CmTime_Before(now, permit->until);
 }
 
-static bool
-is_blocked(const struct cm_retry_permits *permits,
-           const struct service *service, struct timespec now)
+static gboolean
+is_over(void *holder, void *blocked_until, void *now)
 {
-    for (size_t i = 0; i < permits->n_holders; i++) {
-        if (CmTime_Before(now, service->blocked_until[i])) {
-            return true;
-        }
-    }
-    return false;
+    return !CmTime_Before(*(struct timespec *)now,
+                          *(struct timespec *)blocked_until);
 }
 
 void
@@ -163,8 +185,9 @@
     g_hash_table_iter_init(&iter, permits->services);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct service *service = value;
+        g_hash_table_foreach_remove(service->blocked, is_over, &now);
         if (!CmTime_Before(now, service->spare_until) &&
-            !is_blocked(permits, service, now)) {
+            g_hash_table_size(service->blocked) == 0) {
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/packages/ratelimit/src/retry_reserve.c
+++ b/packages/ratelimit/src/retry_reserve.c
@@ -64,6 +64,14 @@
     g_hash_table_destroy(reserve->services);
 }
 
+void
+CmRetryReserve_WaitFrom(struct cm_retry_reserve *reserve, struct timespec time)
+{
+    if (CmTime_Before(reserve->since, time)) {
+        reserve->since = time;
+    }
+}
+
 int64_t
 CmRetryReserve_HoldMs(const struct cm_retry_part *part)
 {
--- a/packages/ratelimit/tests/retry_budget_test.c
+++ b/packages/ratelimit/tests/retry_budget_test.c
@@ -222,18 +222,20 @@
 {
     struct timespec now = {.tv_sec = 1000};
     struct cm_retry_part whole = {10, 10000};
+    static const struct cm_retry_holders holders = {2, {"a", "b"}};
     struct cm_retry_permits permits;
     struct cm_retry_permit permit = {0};
-    CmRetryPermits_Init(&permits, 2, 1, now);
-    CU_ASSERT_EQUAL(CmRetryPermits_ChooseHolder(&permits, "s", &whole, now),
-                    1);
-    CmRetryPermits_Apply(&permits, "s", 1, &(struct cm_retry_grant){1, 3000},
+    CmRetryPermits_Init(&permits, 1, now);
+    CU_ASSERT_EQUAL(
+        CmRetryPermits_ChooseHolder(&permits, "s", &holders, &whole, now), 1);
+    CmRetryPermits_Apply(&permits, "s", "b", &(struct cm_retry_grant){1, 3000},
                          &whole, now, now);
-    CU_ASSERT_EQUAL(CmRetryPermits_ChooseHolder(&permits, "s", &whole, now),
-                    0);
-    CmRetryPermits_Apply(&permits, "s", 0, NULL, &whole, now, now);
-    CU_ASSERT_EQUAL(CmRetryPermits_ChooseHolder(&permits, "s", &whole, now),
-                    CM_RETRY_NO_HOLDER);
+    CU_ASSERT_EQUAL(
+        CmRetryPermits_ChooseHolder(&permits, "s", &holders, &whole, now), 0);
+    CmRetryPermits_Apply(&permits, "s", "a", NULL, &whole, now, now);
+    CU_ASSERT_EQUAL(
+        CmRetryPermits_ChooseHolder(&permits, "s", &holders, &whole, now),
+        CM_RETRY_NO_HOLDER);
     CU_ASSERT_TRUE(CmRetryPermits_Take(&permits, "s", &permit, now));
     struct cm_retry_permit other = {0};
     CU_ASSERT_FALSE(CmRetryPermits_Take(&permits, "s", &other, now));
--- a/packages/ratelimit/tests/simulated_retries.c
+++ b/packages/ratelimit/tests/simulated_retries.c
@@ -41,9 +41,7 @@
 {
     size_t number = (size_t)(gateway - fleet->gateways);
     CmRetryWindow_Init(&gateway->window, RATIO, WINDOW_MS, fleet->now);
-    CmRetryPermits_Init(&gateway->permits,
-                        (size_t)MAX(fleet->pattern->n_seeds, 1), number,
-                        fleet->now);
+    CmRetryPermits_Init(&gateway->permits, number, fleet->now);
     CmRetryReserve_Init(&gateway->granted, fleet->now);
     gateway->received = 0;
     gateway->late = 0;
@@ -110,9 +108,13 @@
     struct sim_gateway *gateway = &fleet->gateways[number];
     struct cm_retry_part whole = {fleet->pattern->reserve, WINDOW_MS};
     struct cm_retry_claim wanted = {SERVICE, 1};
+    struct cm_retry_holders holders = {
+        .n = (size_t)MAX(fleet->pattern->n_seeds, 1)};
+    static const char *const addresses[] = {"0", "1", "2"};
+    memcpy(holders.addresses, addresses, sizeof(addresses));
     int holder;
-    while ((holder = CmRetryPermits_ChooseHolder(&gateway->permits, SERVICE,
-                                                 &whole, fleet->now)) !=
+    while ((holder = CmRetryPermits_ChooseHolder(
+                &gateway->permits, SERVICE, &holders, &whole, fleet->now)) !=
            CM_RETRY_NO_HOLDER) {
         bool answers = is_running(fleet, holder) &&
                        (holder == number ||
@@ -123,7 +125,7 @@
             grant = CmRetryReserve_Grant(&fleet->gateways[holder].granted,
                                          &wanted, &part, fleet->now);
         }
-        CmRetryPermits_Apply(&gateway->permits, SERVICE, holder,
+        CmRetryPermits_Apply(&gateway->permits, SERVICE, addresses[holder],
                              answers ? &grant : NULL, &whole, fleet->now,
                              fleet->now);
         struct cm_retry_permit permit;
--- a/programs/coriandermoor/gateway/retry_budget.c
+++ b/programs/coriandermoor/gateway/retry_budget.c
@@ -26,7 +26,7 @@
 struct claim_call {
     struct service_budget *budget;
     struct peer_call call;
-    int holder;
+    char holder[CM_PEER_ADDRESS_SIZE];
     int wanted;
     struct timespec claimed_at; ///< by boot time
 };
@@ -67,6 +67,28 @@
     g_free(budget);
 }
 
+/// Without any candidate each gateway holds a part.
+static bool
+is_holder(const struct cm_roster *roster, const struct cm_roster_peer *peer)
+{
+    return CmRosterPeer_IsCandidate(peer) ||
+           CmRoster_CountCandidates(roster) == 0;
+}
+
+/// @return the number of holders, those included that don't respond.
+static size_t
+count_holders(const struct cm_roster *roster)
+{
+    size_t n = CmRoster_CountCandidates(roster);
+    return n > 0 ? n : (size_t)roster->peers->len + 1;
+}
+
+static int
+compare_addresses(const void *a, const void *b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
 /// @return the whole reserve of a service.
 static struct cm_retry_part
 whole_reserve(const struct gateway *gateway)
@@ -77,33 +99,40 @@
         .window_ms = (int64_t)(settings->retry_window_s * MS_PER_S)};
 }
 
-/// @return the part that each seed holds. Without seeds a gateway knows no
-/// other ones and holds the whole.
+/// @return the part that each holder has.
 static struct cm_retry_part
-part_of_seed(const struct gateway *gateway)
+part_of_holder(const struct gateway *gateway)
 {
     struct cm_retry_part part = whole_reserve(gateway);
-    part.size /= (double)MAX(gateway->settings.n_seeds, 1);
+    part.size /= (double)count_holders(&gateway->gossip.roster);
     return part;
 }
 
-static bool
-is_holder(const struct gateway *gateway)
+/// Lists the holders that respond; this gateway's address is that of its
+/// roster.
+static void
+list_holders(const struct gateway *gateway, struct cm_retry_holders *holders)
 {
-    return gateway->settings.n_seeds == 0 ||
-           CmRosterPeer_IsCandidate(&gateway->gossip.roster.self);
+    const struct cm_roster *roster = &gateway->gossip.roster;
+    holders->n = 0;
+    if (is_holder(roster, &roster->self)) {
+        holders->addresses[holders->n++] = roster->self.address;
+    }
+    for (guint i = 0; i < roster->peers->len; i++) {
+        const struct cm_roster_peer *peer = CmRoster_PeerAt(roster, i);
+        if (holders->n < CM_RETRY_HOLDERS_MAX && is_holder(roster, peer) &&
+            CmRosterPeer_Responds(peer)) {
+            holders->addresses[holders->n++] = peer->address;
+        }
+    }
+    qsort(holders->addresses, holders->n, sizeof(holders->addresses[0]),
+          compare_addresses);
 }
 
-/// @return the address of a holder, or NULL if it is this gateway.
-static const char *
-holder_address(const struct gateway *gateway, int holder)
+static bool
+is_own_address(const struct gateway *gateway, const char *address)
 {
-    if (gateway->settings.n_seeds == 0 ||
-        strcmp(gateway->settings.seeds[holder],
-               gateway->gossip.roster.self.address) == 0) {
-        return NULL;
-    }
-    return gateway->settings.seeds[holder];
+    return strcmp(address, gateway->gossip.roster.self.address) == 0;
 }
 
 void
@@ -114,7 +143,6 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, budget_free);
     CmRetryReserve_Init(&gateway->retry_reserve, now);
     CmRetryPermits_Init(&gateway->retry_permits,
-                        MAX(gateway->settings.n_seeds, 1),
                         CmHash_Text(gateway->settings.common.name, 0), now);
 }
 
@@ -175,17 +203,23 @@
                                &request->retry_permit.permit, now);
 }
 
-static int
+/// @return the address of a holder to claim at, valid until the next change of
+/// the roster, or NULL if there is none.
+static const char *
 choose_holder(const struct service_budget *budget)
 {
     struct gateway *gateway = budget->gateway;
     struct cm_retry_part reserve = whole_reserve(gateway);
-    return CmRetryPermits_ChooseHolder(&gateway->retry_permits, budget->name,
-                                       &reserve, boot_time(gateway));
+    struct cm_retry_holders holders;
+    list_holders(gateway, &holders);
+    int holder =
+        CmRetryPermits_ChooseHolder(&gateway->retry_permits, budget->name,
+                                    &holders, &reserve, boot_time(gateway));
+    return holder != CM_RETRY_NO_HOLDER ? holders.addresses[holder] : NULL;
 }
 
 static void
-apply_grant(struct service_budget *budget, int holder,
+apply_grant(struct service_budget *budget, const char *holder,
             const struct cm_retry_grant *grant, struct timespec claimed_at)
 {
     struct gateway *gateway = budget->gateway;
@@ -197,7 +231,7 @@
 static struct cm_retry_grant
 grant_permits(struct gateway *gateway, const struct cm_retry_claim *claim)
 {
-    struct cm_retry_part part = part_of_seed(gateway);
+    struct cm_retry_part part = part_of_holder(gateway);
     struct cm_retry_grant grant = CmRetryReserve_Grant(
         &gateway->retry_reserve, claim, &part, boot_time(gateway));
     gateway->count.retry_grants.value += grant.permits;
@@ -233,6 +267,7 @@
                                                      body->str, body->len);
     apply_grant(budget, claim->holder, valid ? &grant : NULL,
                 claim->claimed_at);
+    CmRoster_CountCall(&budget->gateway->gossip.roster, claim->holder, valid);
     claim_free(claim);
     place_waiters(budget);
     claim_for_waiters(budget);
@@ -241,19 +276,19 @@
 /// Sends a claim.
 /// @return false if the call can't be started.
 static bool
-send_claim(struct service_budget *budget, const char *address, int holder,
+send_claim(struct service_budget *budget, const char *holder,
            const struct cm_retry_claim *wanted)
 {
     struct gateway *gateway = budget->gateway;
     struct claim_call *claim = g_new0(struct claim_call, 1);
     claim->budget = budget;
-    claim->holder = holder;
+    g_strlcpy(claim->holder, holder, sizeof(claim->holder));
     claim->wanted = wanted->wanted;
     claim->claimed_at = boot_time(gateway);
     budget->claim = claim;
     gateway->count.retry_claims.value++;
     char *body = CmRetryClaim_Encode(wanted);
-    struct peer_message message = {address, RETRY_PERMITS_PATH, body,
+    struct peer_message message = {claim->holder, RETRY_PERMITS_PATH, body,
                                    CLAIM_TIMEOUT_MS};
     bool started =
         PeerCall_Start(&claim->call, gateway, &message, on_answer, claim);
@@ -278,7 +313,7 @@
 /// Claims at a holder, which this gateway may be itself.
 /// @return whether an answer is to come.
 static bool
-claim_at(struct service_budget *budget, int holder, int waiting)
+claim_at(struct service_budget *budget, const char *holder, int waiting)
 {
     struct gateway *gateway = budget->gateway;
     struct timespec now = boot_time(gateway);
@@ -287,13 +322,12 @@
         .wanted = CmRetryPermits_Wanted(&gateway->retry_permits, budget->name,
                                         waiting, &reserve, now)};
     g_strlcpy(wanted.service, budget->name, sizeof(wanted.service));
-    const char *address = holder_address(gateway, holder);
-    if (address == NULL) {
+    if (is_own_address(gateway, holder)) {
         struct cm_retry_grant grant = grant_permits(gateway, &wanted);
         apply_grant(budget, holder, &grant, now);
         return false;
     }
-    if (send_claim(budget, address, holder, &wanted)) {
+    if (send_claim(budget, holder, &wanted)) {
         return true;
     }
     apply_grant(budget, holder, NULL, now);
@@ -307,8 +341,8 @@
 {
     while (!TAILQ_EMPTY(&budget->waiters) && budget->claim == NULL &&
            !budget->placing) {
-        int holder = choose_holder(budget);
-        if (holder == CM_RETRY_NO_HOLDER ||
+        const char *holder = choose_holder(budget);
+        if (holder == NULL ||
             !claim_at(budget, holder, count_waiters(budget))) {
             place_waiters(budget);
         }
@@ -336,11 +370,11 @@
     }
     struct service_budget *budget = budget_of(request);
     while (!is_allowed(request, budget)) {
-        int holder = choose_holder(budget);
-        if (holder == CM_RETRY_NO_HOLDER) {
+        const char *holder = choose_holder(budget);
+        if (holder == NULL) {
             return RETRY_DENIED;
         }
-        if (holder_address(request->gateway, holder) != NULL) {
+        if (!is_own_address(request->gateway, holder)) {
             wait_for_permit(request, budget);
             return RETRY_WAITS;
         }
@@ -362,7 +396,7 @@
     struct timespec now = boot_time(request->gateway);
     return CmRetryPermit_IsValid(&request->retry_permit.permit, now) ||
            CmRetryWindow_Allows(&budget->window, now) ||
-           choose_holder(budget) != CM_RETRY_NO_HOLDER;
+           choose_holder(budget) != NULL;
 }
 
 static void
@@ -437,7 +471,8 @@
         return NULL;
     }
     struct cm_retry_grant grant = {.retry_ms = CM_RETRY_SILENT_MS};
-    if (is_holder(gateway)) {
+    const struct cm_roster *roster = &gateway->gossip.roster;
+    if (is_holder(roster, &roster->self)) {
         grant = grant_permits(gateway, &claim);
     }
     return CmRetryGrant_Encode(&grant);
@@ -447,6 +482,8 @@
 RetryBudget_Tick(struct gateway *gateway)
 {
     struct timespec now = boot_time(gateway);
+    CmRetryReserve_WaitFrom(&gateway->retry_reserve,
+                            gateway->gossip.roster.counted_since);
     CmRetryReserve_Expire(&gateway->retry_reserve, now);
     CmRetryPermits_Expire(&gateway->retry_permits, now);
 }
