fix(gateway): go on with a stream at status 200 only

Cause: each complete 2xx response without a started event ended the stream, also one of a status that carries no events.

Change: once a part of the stream has gone out, only status 200 ends it; other responses count as broken off, and the stream goes on elsewhere or is cut.

--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -437,6 +437,16 @@
     g_string_free(events, TRUE);
 }
 
+/// @return whether a stream ends with the response of its attempt. One that
+/// has begun goes on with status 200 only: others carry no events.
+static bool
+ends_stream(const struct request *request)
+{
+    return CmEventStream_AtBoundary(&request->events) &&
+           (request->attempt.response.status == STATUS_OK ||
+            !request->retry.answer_started);
+}
+
 /// @return whether the attempt ended with a complete, valid response of
 /// status 2xx.
 static bool
@@ -447,8 +457,7 @@
     return end == CM_H1_CALL_COMPLETE && attempt->has_head &&
            !attempt->invalid && response->status >= STATUS_OK &&
            response->status < STATUS_REDIRECT && response->has_stamp &&
-           (!request->route->stream ||
-            CmEventStream_AtBoundary(&request->events));
+           (!request->route->stream || ends_stream(request));
 }
 
 /// @return whether the response may belong to an earlier request on the same
