--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -1,7 +1,7 @@
 /// @file wire_fuzz.c
 /// Fuzz target: inputs of the platform deployment. Covers objects of the
 /// store, engine reports, heads of requests and responses, lease messages,
-/// crash records, quota messages, lists of prompt parts, records of streams,
+/// crash records, introductions, quota messages, lists of prompt parts, records of streams,
 /// event streams and log lines.
 
 #include <stddef.h>
@@ -14,6 +14,7 @@
 #include "dispatch/event_stream.h"
 #include "engine_codec.h"
 #include "explain/timeline.h"
+#include "peers/introduction.h"
 #include "quarantine/exchange.h"
 #include "ratelimit/message.h"
 #include "ratelimit/quota_message.h"
@@ -53,6 +54,16 @@
     CmExchange_Finish(&exchange);
 }
 
+static void
+decode_introduction(const char *data, size_t size)
+{
+    struct cm_introduction introduction;
+    char text[CM_INTRODUCTION_MAX];
+    if (CmIntroduction_Decode(&introduction, data, size)) {
+        CmIntroduction_Encode(&introduction, text);
+    }
+}
+
 static void
 decode_stream_message(const char *data, size_t size)
 {
@@ -264,6 +275,7 @@
     }
     decode_limit_message(text, size);
     decode_stream_message(text, size);
+    decode_introduction(text, size);
     split_prompt(text, size);
     decode_quota_message(text, size);
     decode_retry_message(text, size);
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -85,6 +85,7 @@
         self.account_random = random.Random(f"accounts {args.seed}")
         self.accounts = args.accounts
         self.small_budget = args.small_budget
+        self.other_seeds = args.other_seeds
         self.keys = {}            # id to key
         self.newest_key = "key-of-changing-0"
         self.withdrawn_at = {}    # key to time
@@ -140,9 +141,14 @@
         self.store_proxy = Proxy("127.0.6.1", d.port, d.store.host,
                                  d.store.port)
         for i in range(len(d.gateways)):
-            settings = d.folder / f"gateway{i}.yaml"
-            settings.write_text(settings.read_text().replace(
-                f'store: "{d.store.host}', 'store: "127.0.6.1'))
+            self.write_settings(i, d.seeds)
+
+    def write_settings(self, gateway, seeds):
+        """Writes a gateway's settings, with the store's proxy."""
+        d = self.deployment
+        settings = pathlib.Path(d.write_gateway_settings(gateway, seeds))
+        settings.write_text(settings.read_text().replace(
+            f'store: "{d.store.host}', 'store: "127.0.6.1'))
 
     # Client accounts.
 
@@ -618,6 +624,32 @@
             for target in targets:
                 target.rejection_rate = 0.0
 
+    async def differ_in_seeds(self):
+        """With --other-seeds, gateways get other seeds, with a signal, without
+        one, or while they are away."""
+        draw = random.Random(f"seeds {self.seed}")
+        gateways = self.deployment.gateways
+        while self.other_seeds and not self.stopping:
+            await asyncio.sleep(draw.uniform(1, 4))
+            i = draw.randrange(len(gateways))
+            process = gateways[i]
+            seeds = draw.sample(range(len(gateways)),
+                                draw.randint(1, len(gateways)))
+            how, away_s = draw.random(), draw.uniform(0.1, 6)
+            if process.name in self.disrupted_processes:
+                continue
+            self.write_settings(i, seeds)
+            if how < 0.3:
+                process.signal(signal.SIGHUP)
+            elif how > 0.6:
+                self.disrupted_processes.add(process.name)
+                self.record_fault(process.name)
+                await process.kill()
+                await asyncio.sleep(away_s)
+                await process.start()
+                self.record_fault(process.name)
+                self.disrupted_processes.discard(process.name)
+
     # Checks after the last request.
 
     def check_runs(self):
@@ -769,6 +801,7 @@
             jobs = [asyncio.ensure_future(self.copy_store()),
                     asyncio.ensure_future(self.change_keys()),
                     asyncio.ensure_future(self.refuse_often()),
+                    asyncio.ensure_future(self.differ_in_seeds()),
                     asyncio.ensure_future(self.run_callers()),
                     asyncio.ensure_future(self.run_resuming_callers()),
                     asyncio.ensure_future(self.monitor_routes())]
@@ -802,6 +835,8 @@
     parser.add_argument("--accounts", action="store_true",
                         help="callers have keys, which are withdrawn, and "
                              "quotas")
+    parser.add_argument("--other-seeds", action="store_true",
+                        help="the seeds in the settings of gateways differ")
     parser.add_argument("--small-budget", action="store_true",
                         help="a retry budget that the faults exhaust, checked "
                              "over all gateways")
