--- a/packages/peers/include/peers/roster.h
+++ b/packages/peers/include/peers/roster.h
@@ -49,6 +49,7 @@
     GRand *random;
     GArray *peers;              ///< of struct cm_roster_peer
     struct cm_roster_peer self; ///< this gateway; `address` may be ""
+    struct timespec started_at;
     /// Time from which on all others count this gateway as a candidate.
     struct timespec counted_since;
     struct timespec contact_at; ///< last one with any other gateway
--- a/packages/peers/src/roster.c
+++ b/packages/peers/src/roster.c
@@ -58,6 +58,7 @@
     };
     struct timespec now = now_of(roster);
     g_strlcpy(roster->self.address, self, sizeof(roster->self.address));
+    roster->started_at = now;
     roster->self.steady_since = now;
     roster->counted_since = now;
     roster->contact_at = now;
@@ -165,7 +166,7 @@
         }
         else if (is_self(roster, seeds[i]) &&
                  set_candidate(roster, &roster->self, now) &&
-                 CmTime_Before(roster->self.steady_since, now)) {
+                 CmTime_DiffMs(now, roster->started_at) > SAME_START_MS) {
             roster->counted_since = CmTime_AddMs(now, CM_ROSTER_SETTLE_MS);
         }
     }
--- a/packages/quarantine/include/quarantine/exchange.h
+++ b/packages/quarantine/include/quarantine/exchange.h
@@ -21,11 +21,11 @@
 struct cm_exchange {
     char from[CM_CRASH_NAME_SIZE]; ///< sender's address, IP:PORT
     uint64_t digest;               ///< of all records that the sender has
-    struct timespec horizon;  ///< the sender takes no older records; 0 if none
+    struct timespec horizon; ///< the sender takes no older records; 0 if none
     bool seeks_ids; ///< in polls: the sender has records that others may lack
-    bool has_ids;             ///< `ids` lists all of the sender's records
-    GArray *ids;              ///< of uint64_t
-    bool has_self; ///< in polls and their responses
+    bool has_ids;   ///< `ids` lists all of the sender's records
+    GArray *ids;    ///< of uint64_t
+    bool has_self;  ///< in polls and their responses
     struct cm_peer_news self; ///< the sender; without its address
     size_t n_others;
     struct cm_peer_news others[CM_EXCHANGE_PEERS_MAX];
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -151,7 +151,7 @@
     bool listing_targets;        ///< the targets' list is being read
     /// The list has all that the store had by then; by boot time.
     struct timespec targets_confirmed_at;
-    bool skipped_targets;        ///< it had targets that may have left
+    bool skipped_targets; ///< it had targets that may have left
     /// Incarnations that the store no longer listed, with the time.
     GHashTable *left_targets;
     struct event *removal_timer; ///< delays removal of unlisted targets
--- a/testing/fuzz/wire_fuzz.c
+++ b/testing/fuzz/wire_fuzz.c
@@ -1,8 +1,8 @@
 /// @file wire_fuzz.c
 /// Fuzz target: inputs of the platform deployment. Covers objects of the
 /// store, engine reports, heads of requests and responses, lease messages,
-/// crash records, introductions, quota messages, lists of prompt parts, records of streams,
-/// event streams and log lines.
+/// crash records, introductions, quota messages, lists of prompt parts,
+/// records of streams, event streams and log lines.
 
 #include <stddef.h>
 #include <stdint.h>
