feat(gateway): log each step of a planned stop, and what it did to requests

Change: shutdown.c holds the planned stop, which was spread over three files, unchanged. It logs the signal with the time since the last tick, the close of idle connections, the end at the time limit, and at the exit what became of the requests that arrived meanwhile. Requests that end with the process say so.

--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -191,7 +191,7 @@
         }
     }
     if (caller->request != NULL) {
-        Request_Abandon(caller->request);
+        Request_Abandon(caller->request, "the caller disconnected");
         caller->request = NULL;
     }
     if (reason == CM_H1_INVALID) {
@@ -310,7 +310,7 @@
     struct caller_conn *caller;
     while ((caller = TAILQ_FIRST(&gateway->callers)) != NULL) {
         if (caller->request != NULL) {
-            Request_Abandon(caller->request);
+            Request_Abandon(caller->request, "the gateway exits");
             caller->request = NULL;
         }
         caller_close(caller);
@@ -362,7 +362,7 @@
 CallerConn_KeepsAlive(const struct caller_conn *caller)
 {
     return CmH1Conn_Head(&caller->conn)->keep_alive && !caller->over_limit &&
-           !caller->gateway->shutting_down;
+           !caller->gateway->shutdown.active;
 }
 
 void
@@ -371,7 +371,7 @@
     caller->request = NULL;
     // The head of a stream that began before the shutdown has no
     // "Connection: close", so `keep` is true for it.
-    if (!keep || caller->gateway->shutting_down) {
+    if (!keep || caller->gateway->shutdown.active) {
         caller_close(caller);
         return;
     }
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -53,7 +53,7 @@
 answer_ready(struct endpoint_conn *endpoint)
 {
     const struct gateway *gateway = endpoint->gateway;
-    bool ready = Gateway_CanServe(gateway) && !gateway->shutting_down &&
+    bool ready = Gateway_CanServe(gateway) && !gateway->shutdown.active &&
                  Admission_AcceptsKeys(endpoint->gateway);
     write_text(endpoint, ready ? STATUS_OK : STATUS_UNAVAILABLE,
                ready ? "ready\n" : "not ready\n");
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -20,7 +20,8 @@
 /// stream_versions.c binds streams to the software version that began them.
 /// store_watches.c maintains the tables that placement.c reads. While the
 /// store is unreachable at startup, peer_fetch.c fills them from a snapshot
-/// of another gateway. gateway_main.c initializes all of these.
+/// of another gateway. gateway_main.c initializes all of these, and shutdown.c
+/// ends them.
 
 #ifndef GATEWAY_H
 #define GATEWAY_H
@@ -124,6 +125,16 @@
     N_LATENCIES
 };
 
+/// Progress of a graceful shutdown; see shutdown.c.
+struct gateway_shutdown {
+    bool active;
+    struct timespec start;
+    bool quiet; ///< the last tick found nothing to wait for
+    bool closed_idle;
+    bool ended_requests;
+    struct gateway_counters before; ///< the counters when it began
+};
+
 struct gateway {
     struct cm_gateway_settings settings;
     struct event_base *base;
@@ -201,9 +212,8 @@
     LIST_HEAD(, release_call) release_calls;
     LIST_HEAD(, model_load_call) model_load_calls;
 
-    bool shutting_down;
-    struct timespec shutdown_start;
-    bool quiet; ///< the last tick of the shutdown found nothing to wait for
+    struct timespec ticked_at; ///< last tick
+    struct gateway_shutdown shutdown;
     struct event *sigterm;
     struct event *sigint;
     struct event *sighup;
@@ -227,11 +237,6 @@
 bool
 Gateway_CanServe(const struct gateway *gateway);
 
-/// @return ms until a graceful shutdown ends the requests in progress, or
-/// INT64_MAX if none has begun.
-int64_t
-Gateway_ShutdownLeftMs(const struct gateway *gateway);
-
 /// Records the number of live gateways that an agent has reported. The
 /// highest of the recent reports applies.
 void
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -28,6 +28,7 @@
 #include "rate_limits.h"
 #include "reload.h"
 #include "retry_budget.h"
+#include "shutdown.h"
 #include "store_watches.h"
 #include "stream_versions.h"
 #include "target_notices.h"
@@ -42,18 +43,6 @@
 #define DEFAULT_GATEWAYS 32
 /// Time after which a lower reported count replaces a higher one.
 #define GATEWAYS_VALID_MS 10000
-/// Time from the start of a shutdown until the load balancer has stopped
-/// sending to this gateway, unless no other gateway is available. Afterwards
-/// idle connections are closed, and the process exits once no request is in
-/// progress or on its way.
-#define SHUTDOWN_GRACE_MS 2300
-/// Requests still in progress are ended this long before the shutdown's time
-/// limit.
-#define SHUTDOWN_MARGIN_MS 500
-/// Part of it that the last of them may take to be written.
-#define SHUTDOWN_LAST_FLUSH_MS 200
-/// Time to flush the last responses before the event loop exits.
-#define SHUTDOWN_FLUSH_MS 50
 /// Allocations of this size, as of long bodies, return their memory to the
 /// system when they are freed. By default glibc raises the limit to the
 /// largest block that was ever freed.
@@ -61,7 +50,6 @@
 /// Memory for what callers have yet to read. With as much for the responses
 /// that targets have yet to complete, a gateway stays below 120 MB.
 #define OUTPUT_MAX_BYTES ((size_t)32 * 1024 * 1024)
-#define MS_PER_S 1000
 
 struct timespec
 Gateway_Now(const struct gateway *gateway)
@@ -82,18 +70,6 @@
     return gateway->catalog != NULL && gateway->targets.count > 0;
 }
 
-int64_t
-Gateway_ShutdownLeftMs(const struct gateway *gateway)
-{
-    if (!gateway->shutting_down) {
-        return INT64_MAX;
-    }
-    int64_t since_ms =
-        CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown_start);
-    return (int64_t)(gateway->settings.stop_s * MS_PER_S) -
-           SHUTDOWN_MARGIN_MS - since_ms;
-}
-
 void
 Gateway_UpdateGatewayCount(struct gateway *gateway, int64_t count)
 {
@@ -125,46 +101,6 @@
     }
 }
 
-static void
-advance_shutdown(struct gateway *gateway)
-{
-    if (!gateway->shutting_down) {
-        return;
-    }
-    int64_t since_ms =
-        CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown_start);
-    if (since_ms >= SHUTDOWN_GRACE_MS) {
-        CallerConns_CloseIdle(gateway);
-    }
-    int64_t left_ms = Gateway_ShutdownLeftMs(gateway);
-    if (left_ms <= 0) {
-        CallerConns_EndRequests(gateway);
-    }
-    if (since_ms < SHUTDOWN_GRACE_MS || gateway->n_requests > 0 ||
-        (!TAILQ_EMPTY(&gateway->callers) && left_ms > 0)) {
-        gateway->quiet = false;
-        return;
-    }
-    CmH1Listener_AcceptWaiting(&gateway->callers_listener);
-    CmH1Listener_Finish(&gateway->callers_listener);
-    if (left_ms <= 0) {
-        if (CmH1Conn_Flushing() > 0 && left_ms > -SHUTDOWN_LAST_FLUSH_MS) {
-            return;
-        }
-        struct timeval linger = CmTime_Timeval(SHUTDOWN_FLUSH_MS);
-        event_base_loopexit(gateway->base, &linger);
-        return;
-    }
-    // Callers that read slowly still wait for the end of their responses. One
-    // tick more sends the last releases of leases; no event is handled between
-    // this decision and the exit.
-    bool quiet = CmH1Conn_Flushing() == 0;
-    if (quiet && gateway->quiet) {
-        event_base_loopbreak(gateway->base);
-    }
-    gateway->quiet = quiet;
-}
-
 static void
 on_tick(evutil_socket_t fd, short what, void *context)
 {
@@ -181,7 +117,7 @@
     RetryBudget_Tick(gateway);
     TargetNotices_Tick(gateway);
     StreamVersions_Tick(gateway);
-    advance_shutdown(gateway);
+    Shutdown_Tick(gateway);
 }
 
 static void
@@ -195,17 +131,9 @@
 }
 
 static void
-on_shutdown_signal(evutil_socket_t fd, short what, void *context)
+on_shutdown_signal(evutil_socket_t signal_number, short what, void *context)
 {
-    struct gateway *gateway = context;
-    if (gateway->shutting_down) {
-        return;
-    }
-    CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
-                "shutdown started, %zu requests are in progress",
-                gateway->n_requests);
-    gateway->shutting_down = true;
-    gateway->shutdown_start = Gateway_Now(gateway);
+    Shutdown_Begin(context, (int)signal_number);
 }
 
 static void
@@ -223,6 +151,7 @@
     gateway->random = g_rand_new();
     gateway->n_gateways = DEFAULT_GATEWAYS;
     gateway->started_at = Gateway_Now(gateway);
+    gateway->ticked_at = gateway->started_at;
     TAILQ_INIT(&gateway->callers);
     Endpoints_InitCounters(gateway);
     CmH1Output_Start(gateway->base, gateway->clock, OUTPUT_MAX_BYTES);
@@ -307,9 +236,7 @@
                     "version %s serves callers at %s", CM_VERSION,
                     gateway->settings.listen);
         event_base_dispatch(gateway->base);
-        CmLog_Event(G_LOG_LEVEL_INFO, "gateway", NULL,
-                    "shutdown complete, %zu requests are abandoned",
-                    gateway->n_requests);
+        Shutdown_LogEnd(gateway);
     }
     else {
         fprintf(stderr, "coriandermoor: %s\n", error->message);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -18,6 +18,7 @@
 #include "rate_limits.h"
 #include "responses.h"
 #include "retry_budget.h"
+#include "shutdown.h"
 #include "stream_versions.h"
 #include "successor.h"
 #include "target_call.h"
@@ -37,10 +38,6 @@
 /// may end a little early.
 #define STALL_SUCCESSOR_MS 500
 #define STALL_ROUNDING_MS 5
-/// Time from the start of a shutdown during which any request is accepted.
-/// Callers learn of the shutdown soon after, and streams that began before
-/// have the remaining time to end.
-#define SHUTDOWN_ACCEPT_MS 2500
 /// Time that a stream may exceed its deadline before it is aborted.
 #define STREAM_GRACE_MS 100
 /// Output buffered for a caller beyond which its stream is aborted: as much as
@@ -729,18 +726,6 @@
     }
 }
 
-/// @return whether the request may be accepted with regard to a shutdown: its
-/// deadline must lie before the shutdown's end, except early on.
-static bool
-fits_shutdown(const struct request *request)
-{
-    const struct gateway *gateway = request->gateway;
-    int64_t since_ms =
-        CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown_start);
-    return !gateway->shutting_down || since_ms < SHUTDOWN_ACCEPT_MS ||
-           Request_LeftMs(request) < Gateway_ShutdownLeftMs(gateway);
-}
-
 /// Serves a request that is within its quota.
 static void
 begin_placement(struct request *request)
@@ -839,7 +824,7 @@
         return;
     }
     apply_route(request);
-    if (!fits_shutdown(request)) {
+    if (!Shutdown_Accepts(request)) {
         Response_SendLocal(request, STATUS_UNAVAILABLE, "the gateway stops");
         return;
     }
@@ -852,9 +837,9 @@
 }
 
 void
-Request_Abandon(struct request *request)
+Request_Abandon(struct request *request, const char *reason)
 {
-    Response_Log(request, "abandoned", 0, "the caller disconnected");
+    Response_Log(request, "abandoned", 0, reason);
     request->gateway->count.abandoned.value++;
     Request_Free(request);
 }
--- a/programs/coriandermoor/gateway/request.h
+++ b/programs/coriandermoor/gateway/request.h
@@ -19,9 +19,10 @@
 void
 Request_EndUnread(struct request *request);
 
-/// Cancels all work for a request whose caller has disconnected.
+/// Cancels all work for a request whose caller gets no response any more.
+/// @param reason for the log.
 void
-Request_Abandon(struct request *request);
+Request_Abandon(struct request *request, const char *reason);
 
 /// @return ms until the request's deadline; negative if it has passed.
 int64_t
--- /dev/null
+++ b/programs/coriandermoor/gateway/shutdown.c
@@ -0,0 +1,169 @@
+/// @file shutdown.c
+/// Ends a gateway while callers keep sending: the load balancer needs some
+/// seconds to notice, open connections stay with the process, and the platform
+/// kills it at the end of the grace time.
+
+#include "shutdown.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "caller_conns.h"
+#include "h1/conn.h"
+#include "request.h"
+
+/// Time from the start of a shutdown until the load balancer has stopped
+/// sending to this gateway, unless no other gateway is available. Afterwards
+/// idle connections are closed, and the process exits once no request is in
+/// progress or on its way.
+#define GRACE_MS 2300
+/// Time from the start of a shutdown during which any request is accepted.
+/// Callers learn of the shutdown soon after, and streams that began before
+/// have the remaining time to end.
+#define ACCEPT_MS 2500
+/// Requests still in progress are ended this long before the shutdown's time
+/// limit.
+#define MARGIN_MS 500
+/// Part of it that the last of them may take to be written.
+#define LAST_FLUSH_MS 200
+/// Time to flush the last responses before the event loop exits.
+#define FLUSH_MS 50
+#define MS_PER_S 1000
+
+static int64_t
+since_start_ms(const struct gateway *gateway)
+{
+    return CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown.start);
+}
+
+void
+Shutdown_Begin(struct gateway *gateway, int signal_number)
+{
+    struct gateway_shutdown *shutdown = &gateway->shutdown;
+    if (shutdown->active) {
+        CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
+                    "%s once more, %" PRId64 " ms after the first signal",
+                    strsignal(signal_number), since_start_ms(gateway));
+        return;
+    }
+    struct timespec now = Gateway_Now(gateway);
+    CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
+                "started by %s, %" PRId64
+                " ms after the last tick: %zu requests are in progress, "
+                "limit %g s",
+                strsignal(signal_number),
+                CmTime_DiffMs(now, gateway->ticked_at), gateway->n_requests,
+                gateway->settings.stop_s);
+    shutdown->active = true;
+    shutdown->start = now;
+    shutdown->before = gateway->count;
+}
+
+int64_t
+Shutdown_LeftMs(const struct gateway *gateway)
+{
+    if (!gateway->shutdown.active) {
+        return INT64_MAX;
+    }
+    return (int64_t)(gateway->settings.stop_s * MS_PER_S) - MARGIN_MS -
+           since_start_ms(gateway);
+}
+
+bool
+Shutdown_Accepts(const struct request *request)
+{
+    const struct gateway *gateway = request->gateway;
+    return !gateway->shutdown.active || since_start_ms(gateway) < ACCEPT_MS ||
+           Request_LeftMs(request) < Shutdown_LeftMs(gateway);
+}
+
+/// Closes the idle connections, and logs the first time.
+static void
+close_idle(struct gateway *gateway)
+{
+    if (!gateway->shutdown.closed_idle) {
+        gateway->shutdown.closed_idle = true;
+        CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
+                    "idle connections are closed after %" PRId64
+                    " ms: %" PRId64 " are open, %zu requests are in progress",
+                    since_start_ms(gateway), gateway->count.connections.value,
+                    gateway->n_requests);
+    }
+    CallerConns_CloseIdle(gateway);
+}
+
+/// Ends what is left at the time limit, and logs it once.
+static void
+end_requests(struct gateway *gateway)
+{
+    if (!gateway->shutdown.ended_requests) {
+        gateway->shutdown.ended_requests = true;
+        CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
+                    "time is up after %" PRId64 " ms: %zu requests are ended",
+                    since_start_ms(gateway), gateway->n_requests);
+    }
+    CallerConns_EndRequests(gateway);
+}
+
+void
+Shutdown_Tick(struct gateway *gateway)
+{
+    struct gateway_shutdown *shutdown = &gateway->shutdown;
+    gateway->ticked_at = Gateway_Now(gateway);
+    if (!shutdown->active) {
+        return;
+    }
+    int64_t since_ms = since_start_ms(gateway);
+    if (since_ms >= GRACE_MS) {
+        close_idle(gateway);
+    }
+    int64_t left_ms = Shutdown_LeftMs(gateway);
+    if (left_ms <= 0) {
+        end_requests(gateway);
+    }
+    if (since_ms < GRACE_MS || gateway->n_requests > 0 ||
+        (!TAILQ_EMPTY(&gateway->callers) && left_ms > 0)) {
+        shutdown->quiet = false;
+        return;
+    }
+    CmH1Listener_AcceptWaiting(&gateway->callers_listener);
+    CmH1Listener_Finish(&gateway->callers_listener);
+    if (left_ms <= 0) {
+        if (CmH1Conn_Flushing() > 0 && left_ms > -LAST_FLUSH_MS) {
+            return;
+        }
+        struct timeval linger = CmTime_Timeval(FLUSH_MS);
+        event_base_loopexit(gateway->base, &linger);
+        return;
+    }
+    // Callers that read slowly still wait for the end of their responses. One
+    // tick more sends the last releases of leases; no event is handled between
+    // this decision and the exit.
+    bool quiet = CmH1Conn_Flushing() == 0;
+    if (quiet && shutdown->quiet) {
+        event_base_loopbreak(gateway->base);
+    }
+    shutdown->quiet = quiet;
+}
+
+void
+Shutdown_LogEnd(const struct gateway *gateway)
+{
+    const struct gateway_counters *count = &gateway->count;
+    const struct gateway_counters *before = &gateway->shutdown.before;
+    CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
+                "complete after %" PRId64 " ms: %" PRId64 " requests arrived "
+                "since its start, %" PRId64 " answered, %" PRId64 " refused, "
+                "%" PRId64 " failed, %" PRId64 " cut, %" PRId64 " callers "
+                "left; %zu requests are abandoned, %zu connections have "
+                "unwritten output",
+                since_start_ms(gateway),
+                count->requests.value - before->requests.value,
+                count->answered.value - before->answered.value,
+                count->refused.value - before->refused.value,
+                count->failed.value - before->failed.value,
+                count->cut.value - before->cut.value,
+                count->abandoned.value - before->abandoned.value,
+                gateway->n_requests, CmH1Conn_Flushing());
+}
