--- a/testing/fleet/deployment.py
+++ b/testing/fleet/deployment.py
@@ -186,6 +186,7 @@
             route("patient", "safe", "app", STREAM_TIMEOUT_MS, 2),
             route("large", "safe", "app", PLAIN_TIMEOUT_MS, 2),
             route("slow-once", "unsafe", "app", STREAM_TIMEOUT_MS, 1),
+            route("long-once", "unsafe", "app", SLOW_TIMEOUT_MS, 1),
         ] + [route(name, "safe", "app", PLAIN_TIMEOUT_MS, 2)
              for name in self.extra_routes
              ] + [route(name, "safe", "app", PLAIN_TIMEOUT_MS, 2, public=True)
