fix(gateway): count a planned stop from the signal, not from its notice

What callers saw: requests sent over 3 s after SIGTERM were taken, passed on and ended without any response, as the process was killed at the end of the grace time with its requests in progress. Requests that must not be repeated ran.

Cause: a gateway measured the stop from the moment at which its handler ran. A process that gets its processor late handles the signal late; it then took any request for 2.5 s more, and its own end of the time lay after SIGKILL. The class of fault: a time limit that begins with an event elsewhere is measured from its notice. Ticks of 200 ms delayed the end further.

Change: the signal counts as sent at the last tick but one, before which it can't have come: after a pause the tick that is due runs before the handler. The time limit is a timer of its own. Any request is accepted for 2.5 s from the notice, but for at most 2.9 s from the signal.

--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -128,8 +128,12 @@
 /// Progress of a graceful shutdown; see shutdown.c.
 struct gateway_shutdown {
     bool active;
-    struct timespec start;
-    bool quiet; ///< the last tick found nothing to wait for
+    struct timespec noticed_at;    ///< when the signal was handled
+    struct timespec signalled_at;  ///< earliest time at which it was sent
+    struct timespec ticked_at;     ///< last tick
+    struct timespec ticked_before; ///< the tick before
+    struct event *end_timer;       ///< end of the requests in progress
+    bool quiet;                    ///< the last tick found nothing to wait for
     bool closed_idle;
     bool ended_requests;
     struct gateway_counters before; ///< the counters when it began
@@ -212,7 +216,6 @@
     LIST_HEAD(, release_call) release_calls;
     LIST_HEAD(, model_load_call) model_load_calls;
 
-    struct timespec ticked_at; ///< last tick
     struct gateway_shutdown shutdown;
     struct event *sigterm;
     struct event *sigint;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -151,7 +151,6 @@
     gateway->random = g_rand_new();
     gateway->n_gateways = DEFAULT_GATEWAYS;
     gateway->started_at = Gateway_Now(gateway);
-    gateway->ticked_at = gateway->started_at;
     TAILQ_INIT(&gateway->callers);
     Endpoints_InitCounters(gateway);
     CmH1Output_Start(gateway->base, gateway->clock, OUTPUT_MAX_BYTES);
@@ -169,6 +168,7 @@
     Quotas_Init(gateway);
     RetryBudget_Init(gateway);
     StreamVersions_Init(gateway);
+    Shutdown_Init(gateway);
     CmProgram_FileChanged(settings->common.path, &gateway->settings_stamp);
     gateway->tick = event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
     gateway->sweep =
@@ -192,6 +192,7 @@
 static void
 gateway_finish(struct gateway *gateway)
 {
+    Shutdown_Finish(gateway);
     CallerConns_Finish(gateway);
     Endpoints_Finish(gateway);
     PeerFetch_Finish(gateway);
--- a/programs/coriandermoor/gateway/shutdown.c
+++ b/programs/coriandermoor/gateway/shutdown.c
@@ -1,7 +1,7 @@
 /// @file shutdown.c
 /// Ends a gateway while callers keep sending: the load balancer needs some
 /// seconds to notice, open connections stay with the process, and the platform
-/// kills it at the end of the grace time.
+/// kills it at the end of the grace time, which began when it sent the signal.
 
 #include "shutdown.h"
 
@@ -13,15 +13,18 @@
 #include "h1/conn.h"
 #include "request.h"
 
-/// Time from the start of a shutdown until the load balancer has stopped
+/// Time from the notice of the signal until the load balancer has stopped
 /// sending to this gateway, unless no other gateway is available. Afterwards
 /// idle connections are closed, and the process exits once no request is in
 /// progress or on its way.
 #define GRACE_MS 2300
-/// Time from the start of a shutdown during which any request is accepted.
+/// Time from the notice of the signal during which any request is accepted.
 /// Callers learn of the shutdown soon after, and streams that began before
 /// have the remaining time to end.
 #define ACCEPT_MS 2500
+/// The same from the signal itself: the platform allows that requests are cut
+/// which were sent up to 3 s after it.
+#define ACCEPT_SIGNAL_MS 2900
 /// Requests still in progress are ended this long before the shutdown's time
 /// limit.
 #define MARGIN_MS 500
@@ -29,12 +32,62 @@
 #define LAST_FLUSH_MS 200
 /// Time to flush the last responses before the event loop exits.
 #define FLUSH_MS 50
+/// Interval of checks once requests have been ended.
+#define LAST_CHECK_MS 20
 #define MS_PER_S 1000
 
 static int64_t
-since_start_ms(const struct gateway *gateway)
+since_notice_ms(const struct gateway *gateway)
 {
-    return CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown.start);
+    return CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown.noticed_at);
+}
+
+static int64_t
+since_signal_ms(const struct gateway *gateway)
+{
+    return CmTime_DiffMs(Gateway_Now(gateway), gateway->shutdown.signalled_at);
+}
+
+/// @return time from the signal until the requests in progress are ended.
+static int64_t
+total_ms(const struct gateway *gateway)
+{
+    return (int64_t)(gateway->settings.stop_s * MS_PER_S) - MARGIN_MS;
+}
+
+/// Waits for the time limit, and checks more often once it has passed.
+static void
+start_end_timer(struct gateway *gateway)
+{
+    int64_t left_ms = Shutdown_LeftMs(gateway);
+    struct timeval wait =
+        CmTime_Timeval(left_ms > 0 ? left_ms : LAST_CHECK_MS);
+    evtimer_add(gateway->shutdown.end_timer, &wait);
+}
+
+static void
+advance(struct gateway *gateway);
+
+static void
+on_end_timer(evutil_socket_t fd, short what, void *context)
+{
+    advance(context);
+    start_end_timer(context);
+}
+
+void
+Shutdown_Init(struct gateway *gateway)
+{
+    gateway->shutdown.end_timer =
+        evtimer_new(gateway->base, on_end_timer, gateway);
+    gateway->shutdown.ticked_at = Gateway_Now(gateway);
+    gateway->shutdown.ticked_before = gateway->shutdown.ticked_at;
+}
+
+void
+Shutdown_Finish(struct gateway *gateway)
+{
+    event_free(gateway->shutdown.end_timer);
 }
 
 void
@@ -44,37 +97,45 @@
     if (shutdown->active) {
         CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
                     "%s once more, %" PRId64 " ms after the first signal",
-                    strsignal(signal_number), since_start_ms(gateway));
+                    strsignal(signal_number), since_notice_ms(gateway));
         return;
     }
-    struct timespec now = Gateway_Now(gateway);
-    CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
-                "started by %s, %" PRId64
-                " ms after the last tick: %zu requests are in progress, "
-                "limit %g s",
-                strsignal(signal_number),
-                CmTime_DiffMs(now, gateway->ticked_at), gateway->n_requests,
-                gateway->settings.stop_s);
     shutdown->active = true;
-    shutdown->start = now;
+    shutdown->noticed_at = Gateway_Now(gateway);
+    // A process that got no processor time handles the signal late. It can't
+    // have come before the last tick but one: after a pause, the tick that is
+    // due runs before the handler.
+    shutdown->signalled_at = shutdown->ticked_before;
     shutdown->before = gateway->count;
+    start_end_timer(gateway);
+    CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
+                "started by %s, sent up to %" PRId64
+                " ms ago: %zu requests are in progress, limit %g s",
+                strsignal(signal_number), since_signal_ms(gateway),
+                gateway->n_requests, gateway->settings.stop_s);
 }
 
 int64_t
 Shutdown_LeftMs(const struct gateway *gateway)
 {
-    if (!gateway->shutdown.active) {
-        return INT64_MAX;
-    }
-    return (int64_t)(gateway->settings.stop_s * MS_PER_S) - MARGIN_MS -
-           since_start_ms(gateway);
+    return gateway->shutdown.active
+               ? total_ms(gateway) - since_signal_ms(gateway)
+               : INT64_MAX;
+}
+
+/// @return whether any request is still accepted.
+static bool
+accepts_any(const struct gateway *gateway)
+{
+    return since_notice_ms(gateway) < ACCEPT_MS &&
+           since_signal_ms(gateway) < ACCEPT_SIGNAL_MS;
 }
 
 bool
 Shutdown_Accepts(const struct request *request)
 {
     const struct gateway *gateway = request->gateway;
-    return !gateway->shutdown.active || since_start_ms(gateway) < ACCEPT_MS ||
+    return !gateway->shutdown.active || accepts_any(gateway) ||
            Request_LeftMs(request) < Shutdown_LeftMs(gateway);
 }
 
@@ -87,7 +148,7 @@
         CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
                     "idle connections are closed after %" PRId64
                     " ms: %" PRId64 " are open, %zu requests are in progress",
-                    since_start_ms(gateway), gateway->count.connections.value,
+                    since_notice_ms(gateway), gateway->count.connections.value,
                     gateway->n_requests);
     }
     CallerConns_CloseIdle(gateway);
@@ -101,20 +162,16 @@
         gateway->shutdown.ended_requests = true;
         CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
                     "time is up after %" PRId64 " ms: %zu requests are ended",
-                    since_start_ms(gateway), gateway->n_requests);
+                    since_notice_ms(gateway), gateway->n_requests);
     }
     CallerConns_EndRequests(gateway);
 }
 
-void
-Shutdown_Tick(struct gateway *gateway)
+static void
+advance(struct gateway *gateway)
 {
     struct gateway_shutdown *shutdown = &gateway->shutdown;
-    gateway->ticked_at = Gateway_Now(gateway);
-    if (!shutdown->active) {
-        return;
-    }
-    int64_t since_ms = since_start_ms(gateway);
+    int64_t since_ms = since_notice_ms(gateway);
     if (since_ms >= GRACE_MS) {
         close_idle(gateway);
     }
@@ -147,6 +204,17 @@
     shutdown->quiet = quiet;
 }
 
+void
+Shutdown_Tick(struct gateway *gateway)
+{
+    struct gateway_shutdown *shutdown = &gateway->shutdown;
+    shutdown->ticked_before = shutdown->ticked_at;
+    shutdown->ticked_at = Gateway_Now(gateway);
+    if (shutdown->active) {
+        advance(gateway);
+    }
+}
+
 void
 Shutdown_LogEnd(const struct gateway *gateway)
 {
@@ -158,7 +226,7 @@
                 "%" PRId64 " failed, %" PRId64 " cut, %" PRId64 " callers "
                 "left; %zu requests are abandoned, %zu connections have "
                 "unwritten output",
-                since_start_ms(gateway),
+                since_notice_ms(gateway),
                 count->requests.value - before->requests.value,
                 count->answered.value - before->answered.value,
                 count->refused.value - before->refused.value,
--- a/programs/coriandermoor/gateway/shutdown.h
+++ b/programs/coriandermoor/gateway/shutdown.h
@@ -9,6 +9,12 @@
 
 struct request;
 
+void
+Shutdown_Init(struct gateway *gateway);
+
+void
+Shutdown_Finish(struct gateway *gateway);
+
 /// Begins the shutdown. Further signals change nothing.
 void
 Shutdown_Begin(struct gateway *gateway, int signal_number);
@@ -23,7 +29,7 @@
 Shutdown_LeftMs(const struct gateway *gateway);
 
 /// @return whether the request may be accepted: its deadline must lie before
-/// the shutdown's end, except early on.
+/// the shutdown's end, except early on and while there is time to serve it.
 bool
 Shutdown_Accepts(const struct request *request);
 
