fix(gateway): take no request late in a short planned stop

What callers saw: with a short stop_s, requests that came late in it were taken and cut at its end, among them some that must not be repeated.

Cause: during a planned stop any request was accepted for 2.5 s, however much time was left after that. With stop_s 3 a request could come 0.1 s before the end.

Change: any request is accepted in the first half of the time until requests are ended at most; later ones must have a deadline before that end.

--- a/programs/coriandermoor/gateway/shutdown.c
+++ b/programs/coriandermoor/gateway/shutdown.c
@@ -25,6 +25,9 @@
 /// The same from the signal itself: the platform allows that requests are cut
 /// which were sent up to 3 s after it.
 #define ACCEPT_SIGNAL_MS 2900
+/// Part of the time until requests are ended during which any is accepted, as
+/// the others need time to be served.
+#define ACCEPT_PART 2
 /// Requests still in progress are ended this long before the shutdown's time
 /// limit.
 #define MARGIN_MS 500
@@ -128,7 +131,8 @@
 accepts_any(const struct gateway *gateway)
 {
     return since_notice_ms(gateway) < ACCEPT_MS &&
-           since_signal_ms(gateway) < ACCEPT_SIGNAL_MS;
+           since_signal_ms(gateway) <
+               MIN(ACCEPT_SIGNAL_MS, total_ms(gateway) / ACCEPT_PART);
 }
 
 bool
