--- a/packages/config/include/config/settings.h
+++ b/packages/config/include/config/settings.h
@@ -11,6 +11,10 @@
 #include "base/log.h"
 #include "config/yaml_defs.h"
 
+/// Default limit of the memory that a process holds for its peers. The
+/// smallest machines have 192 MB.
+#define CM_PEER_MEMORY_DEFAULT_MIB 128
+
 /// Settings that every process has.
 struct cm_settings {
     struct cm_yaml yaml; ///< owns all strings of the settings
@@ -71,14 +75,15 @@
     /// roster has those of the settings in force.
     const char *seeds[CM_SEEDS_MAX];
     size_t n_seeds;
-    const char *store;     ///< IP:PORT of the platform's store
-    int64_t agent_port;    ///< port of the agent on each target's instance
-    double retry_ratio;    ///< retry budget as a share of requests
-    double retry_reserve;  ///< retries beyond it, of all gateways together
-    double retry_window_s; ///< window of the retry budget
-    int64_t files;         ///< limit of open file descriptors
-    double drain_ms;       ///< until a draining target gets no new request
-    double stop_s;         ///< timeout of a graceful shutdown
+    const char *store;       ///< IP:PORT of the platform's store
+    int64_t agent_port;      ///< port of the agent on each target's instance
+    double retry_ratio;      ///< retry budget as a share of requests
+    double retry_reserve;    ///< retries beyond it, of all gateways together
+    double retry_window_s;   ///< window of the retry budget
+    int64_t files;           ///< limit of open file descriptors
+    int64_t peer_memory_mib; ///< limit of the memory held for peers
+    double drain_ms;         ///< until a draining target gets no new request
+    double stop_s;           ///< timeout of a graceful shutdown
     /// Whether withdrawn keys must be refused within `revoke_ms` also by a
     /// gateway that can't reach the store.
     bool strict_revoke;
@@ -93,8 +98,10 @@
 /// gateways.
 struct cm_slot_agent_settings {
     struct cm_settings common;
-    const char *listen; ///< IP:PORT for gateways
-    const char *engine; ///< IP:PORT of the engine
+    int64_t files;           ///< limit of open file descriptors
+    int64_t peer_memory_mib; ///< limit of the memory held for peers
+    const char *listen;      ///< IP:PORT for gateways
+    const char *engine;      ///< IP:PORT of the engine
 };
 
 /// Reads a gateway's settings from `size` bytes of YAML. The YAML document
--- a/packages/config/src/settings.c
+++ b/packages/config/src/settings.c
@@ -25,6 +25,9 @@
 /// Defaults of a gateway's settings that may be left out.
 #define REVOKE_DEFAULT_MS 5000
 #define QUOTA_WINDOW_DEFAULT_S 8
+/// Open files of an agent: the usual limit of a machine beside an engine is
+/// 4,096, of which the agent needs few itself.
+#define AGENT_FILES_DEFAULT 2000
 
 /// Common fields before they are validated. The raw_* structs below start with
 /// them and keep nested nodes beside the scalar values of one program.
@@ -317,6 +320,7 @@
         GATEWAY_INTEGER(files, 64, 10000000),
         GATEWAY_REAL(drain_ms, 100, 60000),
         GATEWAY_REAL(stop_s, 0.1, HOUR_S),
+        GATEWAY_OPTION(peer_memory_mib, CM_YAML_INTEGER, 16, 1048576),
         GATEWAY_OPTION(load_reports, CM_YAML_BOOL, 0, 0),
         GATEWAY_OPTION(strict_revoke, CM_YAML_BOOL, 0, 0),
         GATEWAY_OPTION(revoke_ms, CM_YAML_REAL, 100, HOUR_MS),
@@ -325,6 +329,7 @@
         GATEWAY_OPTION(quota_slack, CM_YAML_REAL, 0, 1e12),
     };
     struct raw_gateway parsed = {0};
+    parsed.values.peer_memory_mib = CM_PEER_MEMORY_DEFAULT_MIB;
     parsed.values.revoke_ms = REVOKE_DEFAULT_MS;
     parsed.values.quota_window_s = QUOTA_WINDOW_DEFAULT_S;
     struct cm_yaml yaml;
@@ -355,8 +360,14 @@
          offsetof(struct raw_slot_agent, values.listen), 0, 0},
         {"engine", CM_YAML_STRING, true,
          offsetof(struct raw_slot_agent, values.engine), 0, 0},
+        {"files", CM_YAML_INTEGER, false,
+         offsetof(struct raw_slot_agent, values.files), 64, 10000000},
+        {"peer_memory_mib", CM_YAML_INTEGER, false,
+         offsetof(struct raw_slot_agent, values.peer_memory_mib), 16, 1048576},
     };
     struct raw_slot_agent parsed = {0};
+    parsed.values.files = AGENT_FILES_DEFAULT;
+    parsed.values.peer_memory_mib = CM_PEER_MEMORY_DEFAULT_MIB;
     struct cm_yaml yaml;
     read_document(&yaml, text, size, fields, G_N_ELEMENTS(fields), &parsed,
                   findings);
--- a/packages/dispatch/include/dispatch/event_stream.h
+++ b/packages/dispatch/include/dispatch/event_stream.h
@@ -40,6 +40,10 @@
 CmEventStream_Feed(struct cm_event_stream *events, const void *data,
                    size_t size, GString *out);
 
+/// @return memory in bytes that the incomplete event takes.
+size_t
+CmEventStream_HeldBytes(const struct cm_event_stream *events);
+
 /// @return whether the bytes so far end with a complete event.
 bool
 CmEventStream_AtBoundary(const struct cm_event_stream *events);
--- a/packages/dispatch/src/event_stream.c
+++ b/packages/dispatch/src/event_stream.c
@@ -122,6 +122,12 @@
     return events->partial->len <= CM_EVENT_MAX_BYTES;
 }
 
+size_t
+CmEventStream_HeldBytes(const struct cm_event_stream *events)
+{
+    return events->partial != NULL ? events->partial->allocated_len : 0;
+}
+
 bool
 CmEventStream_AtBoundary(const struct cm_event_stream *events)
 {
--- a/packages/h1/include/h1/conn.h
+++ b/packages/h1/include/h1/conn.h
@@ -84,11 +84,19 @@
 size_t
 CmH1Conn_PendingInput(const struct cm_h1_conn *conn);
 
+/// @return memory in bytes that the head and input that is not parsed take.
+size_t
+CmH1Conn_HeldInput(const struct cm_h1_conn *conn);
+
 /// @return whether a part of the message that is being read has arrived, or of
 /// the last one until CmH1Conn_ReadNext().
 bool
 CmH1Conn_HasBegun(const struct cm_h1_conn *conn);
 
+/// @return whether the head of the message that is being read has arrived.
+bool
+CmH1Conn_HeadDone(const struct cm_h1_conn *conn);
+
 /// @return the head of the message that is being read or was read last.
 const struct cm_h1_head *
 CmH1Conn_Head(const struct cm_h1_conn *conn);
--- a/packages/h1/include/h1/conn_defs.h
+++ b/packages/h1/include/h1/conn_defs.h
@@ -10,8 +10,9 @@
 #include <stdint.h>
 
 /// Input buffered while no message is being read; the rest stays in the
-/// kernel.
-#define CM_H1_INPUT_MAX_BYTES ((size_t)256 * 1024)
+/// kernel. Twice what libevent reads at once, so that reading doesn't pause
+/// while messages are parsed.
+#define CM_H1_INPUT_MAX_BYTES ((size_t)32 * 1024)
 /// Longest request target plus header section that is accepted.
 #define CM_H1_HEADER_MAX_BYTES ((size_t)32 * 1024)
 /// Informational (1xx) responses before one response.
@@ -43,6 +44,7 @@
     GString *target;     ///< path and query of a request, as received
     GString *text;       ///< names and values, each NUL-terminated
     GArray *fields;      ///< of struct cm_h1_field
+    int64_t body_bytes;  ///< named length of the body; -1 for none
     bool keep_alive;     ///< the connection persists after the message
     bool self_delimited; ///< the body does not end by a close
 };
@@ -70,6 +72,9 @@
     void (*head)(void *context, const struct cm_h1_head *head);
     /// A part of the body arrived; `data` is valid until the callback returns.
     void (*body)(void *context, const void *data, size_t size);
+    /// Input was read, and the message hasn't arrived whole yet. Once for all
+    /// parts of the body that were read together.
+    void (*progress)(void *context);
     /// The whole message arrived; parsing pauses until CmH1Conn_ReadNext().
     void (*message_complete)(void *context);
     /// All buffered output was passed to the kernel.
--- a/packages/h1/include/h1/output.h
+++ b/packages/h1/include/h1/output.h
@@ -1,6 +1,7 @@
 /// @file output.h
-/// Watches the output of the process's accepted connections: bounds what it
-/// holds for peers that read slowly, and finds lost peers.
+/// Watches the output of the process's accepted connections: counts what it
+/// holds for peers that read slowly in the memory budget, and finds lost
+/// peers.
 ///
 /// TCP_USER_TIMEOUT would find lost ones, too, but it also counts the time in
 /// which a live peer keeps its receive window closed.
@@ -15,6 +16,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "memory/budget.h"
 
 /// Interval of checks of the connections with output.
 #define CM_H1_OUTPUT_CHECK_MS 200
@@ -23,6 +25,7 @@
 struct cm_h1_output {
     TAILQ_ENTRY(cm_h1_output) link; ///< in the list of those to check
     struct bufferevent *bev;
+    struct cm_memory_hold hold;
     size_t length;   ///< bytes in the buffer
     uint64_t passed; ///< bytes passed to the kernel
     uint64_t taken;  ///< bytes acknowledged by the peer at the last check
@@ -34,10 +37,10 @@
 };
 
 /// Starts to check the output of connections that are accepted from now on.
-/// @param max_bytes limit of the output that is held for all of them.
+/// @param budget bounds what is held for all of them.
 void
 CmH1Output_Start(struct event_base *base, struct cm_clock *clock,
-                 size_t max_bytes);
+                 struct cm_memory_budget *budget);
 
 /// Ends the checks.
 void
@@ -48,8 +51,7 @@
 CmH1Output_IsStarted(void);
 
 /// Checks all connections with output, as the timer does: those with lost
-/// peers are ended, and others while all output is over the limit. Of these,
-/// peers that have read nothing for the longest time are the first.
+/// peers are ended, and others while all output is over the limit.
 void
 CmH1Output_Check(void);
 
--- a/packages/h1/src/conn.c
+++ b/packages/h1/src/conn.c
@@ -48,6 +48,8 @@
 
 /// Write timeout for the last output of a finished connection.
 #define FLUSH_TIMEOUT_S 5
+/// Memory of a head that is kept for the next one.
+#define HEAD_KEPT_BYTES ((gsize)4096)
 /// Output is copied in blocks of this size, as the memory of a block is freed
 /// once all of it is written.
 #define BLOCK_BYTES ((size_t)64 * 1024)
@@ -63,6 +65,29 @@
     return parser->data;
 }
 
+static GString *
+new_text(GString *former)
+{
+    g_string_free(former, TRUE);
+    return g_string_new(NULL);
+}
+
+/// Frees the memory of a head that was longer than usual.
+static void
+shrink_head(struct cm_h1_io *io)
+{
+    struct cm_h1_head *head = &io->head;
+    if (head->target->allocated_len + head->text->allocated_len +
+            head->fields->len * sizeof(struct cm_h1_field) <=
+        HEAD_KEPT_BYTES) {
+        return;
+    }
+    head->target = new_text(head->target);
+    head->text = new_text(head->text);
+    g_array_free(head->fields, TRUE);
+    head->fields = g_array_new(FALSE, FALSE, sizeof(struct cm_h1_field));
+}
+
 static void
 reset_head(struct cm_h1_io *io)
 {
@@ -213,6 +238,10 @@
     }
     io->head.status = parser->status_code;
     io->head.method = http_method_str((enum http_method)parser->method);
+    bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    io->head.body_bytes =
+        has_length ? (int64_t)MIN(parser->content_length, (uint64_t)INT64_MAX)
+                   : -1;
     io->head.keep_alive =
         http_should_keep_alive(parser) != 0 && !parser->upgrade;
     io->head.self_delimited = is_self_delimited(io);
@@ -455,6 +484,10 @@
                           too_large ? CM_H1_HEADER_TOO_LARGE : CM_H1_INVALID);
         }
     }
+    if (io->conn != NULL && io->message_begun && !io->message_done &&
+        io->conn->handler->progress != NULL) {
+        io->conn->handler->progress(io->conn->context);
+    }
     io->parsing = false;
     if (io->conn == NULL) {
         free_detached(io);
@@ -674,9 +707,16 @@
     return conn->io->message_begun;
 }
 
+bool
+CmH1Conn_HeadDone(const struct cm_h1_conn *conn)
+{
+    return conn->io->head_done;
+}
+
 void
 CmH1Conn_ReadNext(struct cm_h1_conn *conn)
 {
+    shrink_head(conn->io);
     start_message(conn->io);
     conn->io->no_body = false;
     parse_input(conn->io);
@@ -723,6 +763,16 @@
     return evbuffer_get_length(bufferevent_get_input(conn->io->bev));
 }
 
+size_t
+CmH1Conn_HeldInput(const struct cm_h1_conn *conn)
+{
+    const struct cm_h1_head *head = &conn->io->head;
+    // An array has up to twice the room that it needs.
+    return head->target->allocated_len + head->text->allocated_len +
+           2 * head->fields->len * sizeof(struct cm_h1_field) +
+           CmH1Conn_PendingInput(conn);
+}
+
 const struct cm_h1_head *
 CmH1Conn_Head(const struct cm_h1_conn *conn)
 {
--- a/packages/h1/src/output.c
+++ b/packages/h1/src/output.c
@@ -8,6 +8,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stddef.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -21,13 +22,11 @@
     struct cm_clock *clock;
     struct event *timer; ///< NULL unless started
     struct event *over_limit;
-    size_t max_bytes;
+    struct cm_memory_budget *budget;
 } checks;
 
 /// Outputs that the peers have not acknowledged completely.
 static TAILQ_HEAD(, cm_h1_output) unread = TAILQ_HEAD_INITIALIZER(unread);
-/// Bytes in the buffers of all outputs.
-static size_t total_length;
 
 /// @return bytes that the kernel holds, sent or not.
 static size_t
@@ -43,6 +42,13 @@
                                              : (size_t)output->passed;
 }
 
+static bool
+is_over_limit(void)
+{
+    return checks.budget->classes[CM_MEMORY_OUTPUT].bytes >
+           checks.budget->class_max_bytes;
+}
+
 static void
 on_change(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
           void *context)
@@ -50,14 +56,17 @@
     struct cm_h1_output *output = context;
     output->length += info->n_added - info->n_deleted;
     output->passed += info->n_deleted;
-    total_length += info->n_added - info->n_deleted;
+    CmMemoryHold_Set(&output->hold, output->length);
     if (!output->is_checked) {
         output->is_checked = true;
         output->progress_at = (struct timespec){0};
         output->silent_since = (struct timespec){0};
         TAILQ_INSERT_TAIL(&unread, output, link);
     }
-    if (total_length > checks.max_bytes && checks.over_limit != NULL &&
+    if (output->progress_at.tv_sec != 0) {
+        output->hold.progress_at = output->progress_at;
+    }
+    if (is_over_limit() && checks.over_limit != NULL &&
         !evtimer_pending(checks.over_limit, NULL)) {
         struct timeval delay = CmTime_Timeval(OVER_LIMIT_DELAY_MS);
         event_add(checks.over_limit, &delay);
@@ -113,34 +122,19 @@
     uint64_t taken = output->passed - queued;
     if (taken > output->taken || output->progress_at.tv_sec == 0) {
         output->progress_at = now;
+        output->hold.progress_at = now;
     }
     output->taken = taken;
     return queued > 0 && is_lost(output, now);
 }
 
-/// @return whether the first output is dropped before the second one.
-static bool
-is_worse(const struct cm_h1_output *first, const struct cm_h1_output *second,
-         struct timespec now)
-{
-    int64_t first_ms = CmTime_DiffMs(now, first->progress_at);
-    int64_t second_ms = CmTime_DiffMs(now, second->progress_at);
-    return first_ms != second_ms ? first_ms > second_ms
-                                 : first->length > second->length;
-}
-
-static struct cm_h1_output *
-find_worst(struct timespec now)
+static void
+release(struct cm_memory_hold *hold)
 {
-    struct cm_h1_output *worst = NULL;
-    struct cm_h1_output *output;
-    CmTailq_FOREACH (output, &unread, link) {
-        if (output->length > 0 &&
-            (worst == NULL || is_worse(output, worst, now))) {
-            worst = output;
-        }
-    }
-    return worst;
+    struct cm_h1_output *output =
+        (struct cm_h1_output *)((char *)hold -
+                                offsetof(struct cm_h1_output, hold));
+    output->drop(output, false);
 }
 
 /// @return an output with a lost peer, or NULL once all are checked.
@@ -166,10 +160,7 @@
     while ((output = find_lost(now)) != NULL) {
         output->drop(output, true);
     }
-    while (total_length > checks.max_bytes &&
-           (output = find_worst(now)) != NULL) {
-        output->drop(output, false);
-    }
+    CmMemoryBudget_Enforce(checks.budget, CM_MEMORY_OUTPUT);
 }
 
 static void
@@ -180,10 +171,10 @@
 
 void
 CmH1Output_Start(struct event_base *base, struct cm_clock *clock,
-                 size_t max_bytes)
+                 struct cm_memory_budget *budget)
 {
     checks.clock = clock;
-    checks.max_bytes = max_bytes;
+    checks.budget = budget;
     checks.timer = event_new(base, -1, EV_PERSIST, on_timer, NULL);
     checks.over_limit = event_new(base, -1, 0, on_timer, NULL);
     struct timeval interval = CmTime_Timeval(CM_H1_OUTPUT_CHECK_MS);
@@ -210,6 +201,7 @@
                 void (*drop)(struct cm_h1_output *output, bool is_lost))
 {
     *output = (struct cm_h1_output){.bev = bev, .drop = drop};
+    CmMemoryHold_Init(&output->hold, checks.budget, CM_MEMORY_OUTPUT, release);
     evbuffer_add_cb(bufferevent_get_output(bev), on_change, output);
 }
 
@@ -217,7 +209,7 @@
 CmH1Output_Finish(struct cm_h1_output *output)
 {
     evbuffer_remove_cb(bufferevent_get_output(output->bev), on_change, output);
-    total_length -= output->length;
+    CmMemoryHold_Finish(&output->hold);
     end_check(output);
 }
 
--- a/packages/memory/include/memory/budget.h
+++ b/packages/memory/include/memory/budget.h
@@ -11,8 +11,6 @@
 
 #include "memory/budget_defs.h"
 
-/// Default limit of a process in MiB. The smallest machines have 192 MB.
-#define CM_MEMORY_DEFAULT_MIB 128
 #define CM_MIB ((size_t)1024 * 1024)
 
 /// Initializes an empty budget.
@@ -31,9 +29,9 @@
 CmMemoryBudget_Enforce(struct cm_memory_budget *budget,
                        enum cm_memory_class class);
 
-/// @return whether a hold of `bytes` may join a class. It gets at most half of
-/// what is left there, so that small ones still fit beside many large ones. A
-/// denial is counted.
+/// @return whether a hold of `bytes` may join a class. Beside others it gets
+/// at most half of what is left there, so that small ones still fit beside
+/// many large ones. A denial is counted.
 bool
 CmMemoryBudget_Admit(struct cm_memory_budget *budget,
                      enum cm_memory_class class, size_t bytes);
--- a/packages/memory/src/budget.c
+++ b/packages/memory/src/budget.c
@@ -114,7 +114,8 @@
 {
     size_t used = budget->classes[class].bytes;
     size_t max = budget->class_max_bytes;
-    bool admitted = used < max && bytes <= (max - used) / 2;
+    size_t room = used < max ? max - used : 0;
+    bool admitted = room > 0 && bytes <= (used > 0 ? room / 2 : room);
     budget->classes[class].denied += !admitted;
     return admitted;
 }
--- a/programs/coriandermoor-agent/slots/lease_server.c
+++ b/programs/coriandermoor-agent/slots/lease_server.c
@@ -4,6 +4,7 @@
 #include "lease_server.h"
 
 #include <inttypes.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,12 +29,21 @@
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
+#define STATUS_TOO_LARGE 413
+#define STATUS_UNAVAILABLE 503
+/// Largest message of a gateway, as at the other ports of this project.
+#define BODY_MAX_BYTES ((size_t)512 * 1024)
+/// Memory of a body that is kept for the next one.
+#define BODY_KEPT_BYTES ((gsize)4096)
+/// Share of the process's file descriptors that accepted connections may use.
+#define CLIENT_FILES_PERCENT 60
 
 /// One connection of a gateway or an admin client.
 struct connection {
     LIST_ENTRY(connection) link;
     struct slots *slots;
     struct cm_h1_conn h1_conn;
+    struct cm_h1_client client;
     GString *body; ///< of the current request
     /// Lease that the response waits for, or NULL.
     struct gateway_lease *waiting;
@@ -42,6 +52,7 @@
 /// Lease of one request on an adapter.
 struct gateway_lease {
     struct cm_lease slot_lease;
+    struct cm_memory_hold hold; ///< of the lease, until it ends
     struct slots *slots;
     struct connection *connection; ///< while the lease waits, otherwise NULL
     char *id;                      ///< request id
@@ -59,6 +70,7 @@
 connection_free(struct connection *connection)
 {
     LIST_REMOVE(connection, link);
+    CmH1Client_Finish(&connection->client);
     CmH1Conn_FinishAfterWrite(&connection->h1_conn);
     g_string_free(connection->body, TRUE);
     g_free(connection);
@@ -67,6 +79,7 @@
 static void
 gateway_lease_free(struct gateway_lease *lease)
 {
+    CmMemoryHold_Finish(&lease->hold);
     CmResidency_Release(&lease->slots->residency, &lease->slot_lease);
     if (lease->awaiting_room) {
         TAILQ_REMOVE(&lease->slots->awaiting_room, lease, room_link);
@@ -95,9 +108,21 @@
     g_string_free(out, TRUE);
 }
 
+static size_t
+held_bytes(const struct connection *connection)
+{
+    return CmH1Conn_HeldInput(&connection->h1_conn) +
+           connection->body->allocated_len;
+}
+
 static void
 next_request(struct connection *connection)
 {
+    if (connection->body->allocated_len > BODY_KEPT_BYTES) {
+        g_string_free(connection->body, TRUE);
+        connection->body = g_string_new(NULL);
+    }
+    CmH1Client_BecomeIdle(&connection->client, held_bytes(connection));
     if (CmH1Conn_Head(&connection->h1_conn)->keep_alive) {
         CmH1Conn_ReadNext(&connection->h1_conn);
     }
@@ -459,7 +484,15 @@
               struct cm_lease_request *lease_request)
 {
     struct slots *slots = connection->slots;
+    size_t bytes = sizeof(struct gateway_lease) + strlen(lease_request->id) +
+                   strlen(lease_request->adapter);
+    if (!CmMemoryBudget_Admit(&slots->memory, CM_MEMORY_REQUESTS, bytes)) {
+        send_lease_reply(connection, CM_LEASE_OUTCOME_BUSY, 0);
+        return false;
+    }
     struct gateway_lease *lease = g_new0(struct gateway_lease, 1);
+    CmMemoryHold_Init(&lease->hold, &slots->memory, CM_MEMORY_REQUESTS, NULL);
+    CmMemoryHold_Set(&lease->hold, bytes);
     lease->slots = slots;
     lease->id = g_steal_pointer(&lease_request->id);
     lease->prompt_tokens = lease_request->tokens;
@@ -503,6 +536,7 @@
     default:
         slots->leases_queue_full.value++;
         log_queue_full(slots, lease);
+        CmMemoryHold_Finish(&lease->hold);
         g_free(lease->slot_lease.adapter);
         g_free(lease->id);
         g_free(lease);
@@ -600,6 +634,9 @@
     GString *text = g_string_new(NULL);
     connection->slots->leases_active.value =
         g_hash_table_size(connection->slots->active_leases);
+    connection->slots->held_bytes.value =
+        (int64_t)CmMemoryBudget_Total(&connection->slots->memory);
+    connection->slots->evictions.value = connection->slots->intake.evicted;
     CmCounters_Write(&connection->slots->counters, text);
     write_response(connection, STATUS_OK, "text/plain; version=0.0.4",
                    text->str);
@@ -617,13 +654,31 @@
 on_body(void *context, const void *data, size_t size)
 {
     struct connection *connection = context;
+    if (connection->body->len + size > BODY_MAX_BYTES) {
+        write_response(connection, STATUS_TOO_LARGE, "text/plain", "");
+        connection_free(connection);
+        return;
+    }
     g_string_append_len(connection->body, data, (gssize)size);
 }
 
+static void
+on_progress(void *context)
+{
+    struct connection *connection = context;
+    // May end the connection.
+    CmH1Client_Arriving(&connection->client, held_bytes(connection));
+}
+
 static void
 on_message_complete(void *context)
 {
     struct connection *connection = context;
+    if (!CmH1Client_Begin(&connection->client, held_bytes(connection))) {
+        write_response(connection, STATUS_UNAVAILABLE, "text/plain", "");
+        next_request(connection);
+        return;
+    }
     const char *path = CmH1Conn_Head(&connection->h1_conn)->target->str;
     if (strcmp(path, CM_LEASE_PATH) == 0) {
         if (handle_lease(connection)) {
@@ -654,17 +709,34 @@
 
 static const struct cm_h1_handler handler = {.head = on_head,
                                              .body = on_body,
+                                             .progress = on_progress,
                                              .message_complete =
                                                  on_message_complete,
                                              .closed = on_closed};
 
+/// Ends a connection without a lease request, so that others can be served.
+static void
+on_end(struct cm_h1_client *client, enum cm_h1_client_end why)
+{
+    struct connection *connection =
+        (struct connection *)((char *)client -
+                              offsetof(struct connection, client));
+    CmH1Conn_Finish(&connection->h1_conn);
+    connection_free(connection);
+}
+
 static void
 on_accept(void *context, evutil_socket_t fd)
 {
     struct slots *slots = context;
+    if (!CmH1Intake_MakeRoom(&slots->intake, 0)) {
+        evutil_closesocket(fd);
+        return;
+    }
     struct connection *connection = g_new0(struct connection, 1);
     connection->slots = slots;
     connection->body = g_string_new(NULL);
+    CmH1Client_Init(&connection->client, &slots->intake, on_end);
     LIST_INSERT_HEAD(&slots->connections, connection, link);
     CmH1Conn_Accept(&connection->h1_conn, slots->base, fd, &handler,
                     connection);
@@ -686,6 +758,8 @@
 LeaseServer_Listen(struct slots *slots, GError **error)
 {
     slots->prefill_timer = evtimer_new(slots->base, on_prefill_timer, slots);
+    CmH1Intake_Init(&slots->intake, &slots->memory, slots->clock,
+                    slots->settings.files * CLIENT_FILES_PERCENT / 100);
     const struct cm_slot_agent_settings *settings = &slots->settings;
     slots->active_leases =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_lease_value);
--- a/programs/coriandermoor-agent/slots/slots.h
+++ b/programs/coriandermoor-agent/slots/slots.h
@@ -18,6 +18,7 @@
 #include "base/counter.h"
 #include "config/settings.h"
 #include "engine_codec.h"
+#include "h1/intake.h"
 #include "h1/listener.h"
 #include "h1/pool.h"
 #include "peers/introduction.h"
@@ -78,6 +79,8 @@
     struct cm_slot_agent_settings settings;
     struct event_base *base;
     struct cm_clock *clock;
+    struct cm_memory_budget memory; ///< of all peers
+    struct cm_h1_intake intake;     ///< of both ports
     struct cm_h1_pool pool;
     struct cm_residency residency;
     int64_t engine_slots; ///< adapter slots of the engine, as the last lease
@@ -117,6 +120,8 @@
     struct event *sweep_timer;
     struct cm_counters counters;
     struct cm_counter lease_requests;
+    struct cm_counter held_bytes;
+    struct cm_counter evictions;
     struct cm_counter leases_granted;
     /// Denied: too many other adapters wait for a load.
     struct cm_counter leases_queue_full;
--- a/programs/coriandermoor-agent/slots/slots_main.c
+++ b/programs/coriandermoor-agent/slots/slots_main.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "config/program.h"
 #include "h1/conn.h"
+#include "h1/output.h"
 #include "engine.h"
 #include "lease_server.h"
 #include "load_reporter.h"
@@ -71,6 +72,11 @@
                    "Orders given to the engine.");
     CmCounters_Add(counters, &slots->engine_reports, "cm_agent_reports_total",
                    "Reports read from the engine.");
+    CmCounters_AddGauge(counters, &slots->held_bytes, "cm_agent_held_bytes",
+                        "Memory held for peers: requests, and output that is "
+                        "not read.");
+    CmCounters_Add(counters, &slots->evictions, "cm_agent_evictions_total",
+                   "Connections without a request ended to make room.");
     CmCounters_AddGauge(counters, &slots->leases_active, "cm_agent_claims",
                         "Claims on adapters that requests hold.");
 }
@@ -90,6 +96,9 @@
     slots->base = event_base_new();
     LIST_INIT(&slots->connections);
     init_counters(slots);
+    CmMemoryBudget_Init(&slots->memory, slots->clock,
+                        (size_t)slots->settings.peer_memory_mib * CM_MIB);
+    CmH1Output_Start(slots->base, slots->clock, &slots->memory);
     CmH1Pool_Init(&slots->pool, slots->base, slots->clock);
     slots->engine_slots = SLOTS_DEFAULT;
     CmResidency_Init(&slots->residency, SLOTS_DEFAULT);
@@ -118,6 +127,7 @@
     CmResidency_Finish(&slots->residency);
     CmH1Pool_Finish(&slots->pool);
     CmH1Conn_FinishDetached();
+    CmH1Output_Stop();
     event_free(slots->sigterm);
     event_free(slots->sigint);
     event_free(slots->sighup);
--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -4,6 +4,7 @@
 #include "caller_conns.h"
 
 #include <inttypes.h>
+#include <stddef.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -22,15 +23,14 @@
 /// Any further ones are closed at once, without a response.
 #define CALLER_FILES_PERCENT 60
 #define OVER_LIMIT_MAX 100
+/// Memory of a body that is kept for the next one.
+#define BODY_KEPT_BYTES ((gsize)4096)
 /// Added to the configured timeouts, as a request may be in transit.
 #define TIMEOUT_MARGIN_MS 2000
 
-/// Time in which a new connection's first request arrives, as far as a
-/// shutdown is concerned: the slowest round trip, as CM_H1_TCP_USER_TIMEOUT_MS
-/// assumes it.
-#define FIRST_REQUEST_MS 1000
-/// Retry-After of a request that has not arrived at the end of a shutdown.
-#define STOPPED_RETRY_AFTER_MS 0
+/// Retry-After of a request that is refused before it has arrived whole: other
+/// gateways may take it at once.
+#define UNREAD_RETRY_AFTER_MS 0
 
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TOO_LARGE 413
@@ -75,6 +75,7 @@
 static void
 caller_free(struct caller_conn *caller)
 {
+    CmH1Client_Finish(&caller->client);
     TAILQ_REMOVE(&caller->gateway->callers, caller, link);
     caller->gateway->count.connections.value--;
     event_free(caller->timer);
@@ -91,6 +92,24 @@
     caller_free(caller);
 }
 
+/// @return memory that the connection's request takes.
+static size_t
+held_bytes(const struct caller_conn *caller)
+{
+    return CmH1Conn_HeldInput(&caller->conn) + caller->body->allocated_len;
+}
+
+/// Frees what the last request took, and waits for the next one.
+static void
+free_request(struct caller_conn *caller)
+{
+    if (caller->body->allocated_len > BODY_KEPT_BYTES) {
+        g_string_free(caller->body, TRUE);
+        caller->body = g_string_new(NULL);
+    }
+    CmH1Client_BecomeIdle(&caller->client, held_bytes(caller));
+}
+
 /// Closes a connection without a request. One that arrives meanwhile must stay
 /// unread: the reset tells its caller that it may be sent again.
 static void
@@ -111,7 +130,7 @@
     GString *out = g_string_new(NULL);
     CmCallCodec_ComposeError(
         out, status, "", reason,
-        status == STATUS_UNAVAILABLE ? STOPPED_RETRY_AFTER_MS : -1);
+        status == STATUS_UNAVAILABLE ? UNREAD_RETRY_AFTER_MS : -1);
     CmH1Conn_Write(&caller->conn, out->str, out->len);
     g_string_free(out, TRUE);
     CmLog_Event(G_LOG_LEVEL_INFO, "callers", NULL,
@@ -126,7 +145,6 @@
 {
     struct caller_conn *caller = context;
     caller->reading = true;
-    caller->too_large = false;
     caller->limits = *current_limits(caller->gateway);
     g_string_truncate(caller->body, 0);
     start_timer(caller, caller->limits.header_timeout_ms + TIMEOUT_MARGIN_MS);
@@ -139,11 +157,21 @@
     start_timer(caller, caller->limits.idle_timeout_ms + TIMEOUT_MARGIN_MS);
 }
 
+static void
+reject_body(struct caller_conn *caller)
+{
+    reject(caller, STATUS_TOO_LARGE, "the body is too large");
+}
+
 static void
 on_head(void *context, const struct cm_h1_head *head)
 {
     struct caller_conn *caller = context;
     start_body_timer(caller);
+    if (head->body_bytes > caller->limits.body_bytes) {
+        reject_body(caller);
+        return;
+    }
     if (CmH1Head_Find(head, "Expect") != NULL) {
         static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
         CmH1Conn_Write(&caller->conn, interim, strlen(interim));
@@ -154,25 +182,32 @@
 on_body(void *context, const void *data, size_t size)
 {
     struct caller_conn *caller = context;
-    start_body_timer(caller);
     if ((int64_t)(caller->body->len + size) > caller->limits.body_bytes) {
-        caller->too_large = true;
+        reject_body(caller);
         return;
     }
     g_string_append_len(caller->body, data, (gssize)size);
 }
 
+static void
+on_progress(void *context)
+{
+    struct caller_conn *caller = context;
+    if (CmH1Client_Arriving(&caller->client, held_bytes(caller)) &&
+        CmH1Conn_HeadDone(&caller->conn)) {
+        start_body_timer(caller);
+    }
+}
+
 static void
 on_message_complete(void *context)
 {
     struct caller_conn *caller = context;
     caller->reading = false;
-    caller->has_requested = true;
     evtimer_del(caller->timer);
-    if (caller->too_large) {
-        reject(caller, STATUS_TOO_LARGE, "the body is too large");
-        return;
-    }
+    // While the body is sent to a target there is a copy of it.
+    caller->has_no_memory = !CmH1Client_Begin(
+        &caller->client, held_bytes(caller) + caller->body->len);
     Request_Start(caller);
 }
 
@@ -215,6 +250,7 @@
 static const struct cm_h1_handler handler = {.begin = on_begin,
                                              .head = on_head,
                                              .body = on_body,
+                                             .progress = on_progress,
                                              .message_complete =
                                                  on_message_complete,
                                              .drained = on_drained,
@@ -271,24 +307,48 @@
     return gateway->settings.files * CALLER_FILES_PERCENT / 100;
 }
 
+/// Ends a connection so that others can be served.
+static void
+on_end(struct cm_h1_client *client, enum cm_h1_client_end why)
+{
+    struct caller_conn *caller =
+        (struct caller_conn *)((char *)client -
+                               offsetof(struct caller_conn, client));
+    if (!CmH1Conn_HasBegun(&caller->conn)) {
+        close_idle(caller);
+    }
+    else if (CmH1Conn_Detached() >= OVER_LIMIT_MAX) {
+        // Too many that got a response are still open.
+        CmH1Conn_Finish(&caller->conn);
+        caller_free(caller);
+    }
+    else {
+        reject(caller, STATUS_UNAVAILABLE,
+               why == CM_H1_END_MEMORY ? "requests take too much memory"
+                                       : "too many connections are open");
+    }
+}
+
 static void
 on_accept(void *context, evutil_socket_t fd)
 {
     struct gateway *gateway = context;
-    int64_t limit = max_connections(gateway);
     // Those that are closed in order still have their file descriptors.
-    int64_t open =
-        gateway->count.connections.value + (int64_t)CmH1Conn_Detached();
-    if (open >= limit + OVER_LIMIT_MAX) {
+    int64_t detached = (int64_t)CmH1Conn_Detached();
+    gateway->callers_intake.max = max_connections(gateway);
+    bool has_room = CmH1Intake_MakeRoom(&gateway->callers_intake, detached);
+    if (!has_room && gateway->callers_intake.count + detached >=
+                         gateway->callers_intake.max + OVER_LIMIT_MAX) {
         close(fd);
         return;
     }
     struct caller_conn *caller = g_new0(struct caller_conn, 1);
-    caller->over_limit = open >= limit;
+    caller->over_limit = !has_room;
     caller->gateway = gateway;
     caller->accepted_at = Gateway_Now(gateway);
     caller->body = g_string_new(NULL);
     caller->timer = evtimer_new(gateway->base, on_timer, caller);
+    CmH1Client_Init(&caller->client, &gateway->callers_intake, on_end);
     TAILQ_INSERT_TAIL(&gateway->callers, caller, link);
     gateway->count.connections.value++;
     CmH1Conn_Accept(&caller->conn, gateway->base, fd, &handler, caller);
@@ -343,7 +403,7 @@
     }
     int64_t age_ms =
         CmTime_DiffMs(Gateway_Now(caller->gateway), caller->accepted_at);
-    return !caller->has_requested && age_ms < FIRST_REQUEST_MS;
+    return !caller->client.has_requested && age_ms < CM_H1_FIRST_REQUEST_MS;
 }
 
 void
@@ -376,6 +436,7 @@
         return;
     }
     become_idle(caller);
+    free_request(caller);
     CmH1Conn_ReadNext(&caller->conn);
 }
 
--- a/programs/coriandermoor/gateway/caller_conns.h
+++ b/programs/coriandermoor/gateway/caller_conns.h
@@ -6,6 +6,7 @@
 
 #include "gateway.h"
 #include "h1/conn.h"
+#include "h1/intake.h"
 
 struct request;
 
@@ -14,6 +15,7 @@
     TAILQ_ENTRY(caller_conn) link;
     struct gateway *gateway;
     struct cm_h1_conn conn;
+    struct cm_h1_client client;
     GString *body;              ///< of the current request
     struct request *request;    ///< in progress, or NULL
     struct event *timer;        ///< idle and slow request timeout
@@ -21,10 +23,9 @@
     struct timespec idle_since; ///< end of the last response, once written
     size_t unread;              ///< output when the timer was started
     struct cm_caller_limits limits; ///< of the request that is being read
-    bool too_large;                 ///< the body exceeds its limit
     bool reading;       ///< a request has begun to arrive and is incomplete
     bool over_limit;    ///< beyond the connection limit: gets one 503
-    bool has_requested; ///< a complete request has arrived
+    bool has_no_memory; ///< there is none for its request: gets a 503
     struct timespec accepted_at;
 };
 
--- a/programs/coriandermoor/gateway/endpoints.c
+++ b/programs/coriandermoor/gateway/endpoints.c
@@ -3,12 +3,15 @@
 
 #include "endpoints.h"
 
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "admission.h"
 #include "crash_watch.h"
+#include "base/log.h"
 #include "h1/conn.h"
+#include "h1/intake.h"
 #include "h1/writer.h"
 #include "peer_fetch.h"
 #include "peer_gossip.h"
@@ -22,7 +25,13 @@
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_REQUEST 400
+#define STATUS_TOO_LARGE 413
 #define STATUS_UNAVAILABLE 503
+/// Share of the process's file descriptors that connections to endpoints may
+/// use: each of 420 gateways has one to each that decides for all.
+#define ENDPOINT_FILES_PERCENT 20
+/// Memory of a body that is kept for the next one.
+#define BODY_KEPT_BYTES ((gsize)4096)
 
 /// One connection to an endpoint. Each address has one response for all paths,
 /// except for crash records and facts at the control address and for refused
@@ -31,7 +40,8 @@
     LIST_ENTRY(endpoint_conn) link;
     struct gateway *gateway;
     struct cm_h1_conn conn;
-    GString *body; ///< of the current request, up to its limit
+    struct cm_h1_client client;
+    GString *body; ///< of the current request
     void (*answer)(struct endpoint_conn *endpoint);
 };
 
@@ -59,6 +69,21 @@
                ready ? "ready\n" : "not ready\n");
 }
 
+static void
+update_memory(struct gateway *gateway)
+{
+    struct gateway_counters *count = &gateway->count;
+    const struct cm_memory_budget *memory = &gateway->memory;
+    count->held_bytes.value = (int64_t)CmMemoryBudget_Total(memory);
+    count->memory_releases.value = 0;
+    for (size_t i = 0; i < CM_MEMORY_CLASSES; i++) {
+        count->memory_releases.value += memory->classes[i].released;
+    }
+    count->memory_refusals.value = memory->classes[CM_MEMORY_REQUESTS].denied;
+    count->evictions.value =
+        gateway->callers_intake.evicted + gateway->endpoints_intake.evicted;
+}
+
 static void
 answer_metrics(struct endpoint_conn *endpoint)
 {
@@ -77,6 +102,7 @@
     gateway->count.candidates.value =
         (int64_t)CmRoster_CountCandidates(roster);
     TargetNotices_UpdateGauges(gateway);
+    update_memory(gateway);
     CmCounters_Write(&gateway->count.all, text);
     CmHistogram_Write(endpoint->gateway->latency, N_LATENCIES, text);
     write_text(endpoint, STATUS_OK, text->str);
@@ -191,6 +217,7 @@
 endpoint_conn_free(struct endpoint_conn *endpoint)
 {
     LIST_REMOVE(endpoint, link);
+    CmH1Client_Finish(&endpoint->client);
     g_string_free(endpoint->body, TRUE);
     CmH1Conn_FinishAfterWrite(&endpoint->conn);
     g_free(endpoint);
@@ -203,14 +230,40 @@
     g_string_truncate(endpoint->body, 0);
 }
 
+/// Sends an error response and closes the connection.
+static void
+reject(struct endpoint_conn *endpoint, int status, const char *reason)
+{
+    CmLog_Event(G_LOG_LEVEL_WARNING, "endpoints", NULL,
+                "request rejected with status %d, connection closed: %s",
+                status, reason);
+    write_text(endpoint, status, reason);
+    endpoint_conn_free(endpoint);
+}
+
 static void
 on_body(void *context, const void *data, size_t size)
 {
     struct endpoint_conn *endpoint = context;
-    // A longer body is malformed, also in its first part.
-    if (endpoint->body->len <= CM_EXCHANGE_BYTES_MAX) {
-        g_string_append_len(endpoint->body, data, (gssize)size);
+    if (endpoint->body->len + size > CM_EXCHANGE_BYTES_MAX) {
+        reject(endpoint, STATUS_TOO_LARGE, "the body is too large\n");
+        return;
     }
+    g_string_append_len(endpoint->body, data, (gssize)size);
+}
+
+static size_t
+held_bytes(const struct endpoint_conn *endpoint)
+{
+    return CmH1Conn_HeldInput(&endpoint->conn) + endpoint->body->allocated_len;
+}
+
+static void
+on_progress(void *context)
+{
+    struct endpoint_conn *endpoint = context;
+    // May end the connection.
+    CmH1Client_Arriving(&endpoint->client, held_bytes(endpoint));
 }
 
 static void
@@ -218,13 +271,21 @@
 {
     struct endpoint_conn *endpoint = context;
     bool keep = CmH1Conn_Head(&endpoint->conn)->keep_alive;
-    endpoint->answer(endpoint);
-    if (keep) {
-        CmH1Conn_ReadNext(&endpoint->conn);
+    if (!CmH1Client_Begin(&endpoint->client, held_bytes(endpoint))) {
+        reject(endpoint, STATUS_UNAVAILABLE, "no memory for the request\n");
+        return;
     }
-    else {
+    endpoint->answer(endpoint);
+    if (!keep) {
         endpoint_conn_free(endpoint);
+        return;
     }
+    if (endpoint->body->allocated_len > BODY_KEPT_BYTES) {
+        g_string_free(endpoint->body, TRUE);
+        endpoint->body = g_string_new(NULL);
+    }
+    CmH1Client_BecomeIdle(&endpoint->client, held_bytes(endpoint));
+    CmH1Conn_ReadNext(&endpoint->conn);
 }
 
 static void
@@ -235,19 +296,38 @@
 
 static const struct cm_h1_handler handler = {.head = on_head,
                                              .body = on_body,
+                                             .progress = on_progress,
                                              .message_complete =
                                                  on_message_complete,
                                              .closed = on_closed};
 
+/// Ends a connection so that others can be served.
+static void
+on_end(struct cm_h1_client *client, enum cm_h1_client_end why)
+{
+    struct endpoint_conn *endpoint =
+        (struct endpoint_conn *)((char *)client -
+                                 offsetof(struct endpoint_conn, client));
+    CmH1Conn_Finish(&endpoint->conn);
+    endpoint_conn_free(endpoint);
+}
+
 static void
 accept_conn(struct gateway *gateway, evutil_socket_t fd,
             void (*answer)(struct endpoint_conn *endpoint))
 {
+    gateway->endpoints_intake.max =
+        gateway->settings.files * ENDPOINT_FILES_PERCENT / 100;
+    if (!CmH1Intake_MakeRoom(&gateway->endpoints_intake, 0)) {
+        evutil_closesocket(fd);
+        return;
+    }
     struct endpoint_conn *endpoint = g_new0(struct endpoint_conn, 1);
     LIST_INSERT_HEAD(&gateway->endpoint_conns, endpoint, link);
     endpoint->gateway = gateway;
     endpoint->answer = answer;
     endpoint->body = g_string_new(NULL);
+    CmH1Client_Init(&endpoint->client, &gateway->endpoints_intake, on_end);
     CmH1Conn_Accept(&endpoint->conn, gateway->base, fd, &handler, endpoint);
 }
 
@@ -411,6 +491,19 @@
                    "Reports of engines' load received from agents.");
     CmCounters_AddGauge(all, &count->connections, "cm_gateway_connections",
                         "Open connections of callers.");
+    CmCounters_AddGauge(all, &count->held_bytes, "cm_gateway_held_bytes",
+                        "Memory held for peers: requests, responses, and "
+                        "output that is not read.");
+    CmCounters_Add(all, &count->memory_releases,
+                   "cm_gateway_memory_releases_total",
+                   "Connections and responses ended as peers took too much "
+                   "memory.");
+    CmCounters_Add(all, &count->memory_refusals,
+                   "cm_gateway_memory_refusals_total",
+                   "Requests refused as requests in progress took too much "
+                   "memory.");
+    CmCounters_Add(all, &count->evictions, "cm_gateway_evictions_total",
+                   "Connections without a request ended to make room.");
     CmCounters_AddGauge(all, &count->config_version,
                         "cm_gateway_config_version",
                         "Version of the configuration in force.");
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -36,6 +36,7 @@
 #include "dispatch/config_age.h"
 #include "dispatch/demand.h"
 #include "dispatch/targets.h"
+#include "h1/intake.h"
 #include "h1/listener.h"
 #include "h1/pool.h"
 #include "peer_fetch_defs.h"
@@ -101,6 +102,10 @@
     struct cm_counter stream_records;
     struct cm_counter load_reports;
     struct cm_counter connections;
+    struct cm_counter held_bytes;
+    struct cm_counter memory_releases;
+    struct cm_counter memory_refusals;
+    struct cm_counter evictions;
     struct cm_counter config_version;
     struct cm_counter config_age_ms;
     struct cm_counter key_refusals;
@@ -144,6 +149,9 @@
     struct event_base *base;
     struct cm_clock *clock;
     struct timespec started_at;
+    struct cm_memory_budget memory;       ///< of all peers
+    struct cm_h1_intake callers_intake;   ///< of the port for callers
+    struct cm_h1_intake endpoints_intake; ///< of the other ports
     struct cm_h1_pool pool;
     struct cm_targets targets;
     struct cm_demand demand;
@@ -210,8 +218,7 @@
     /// Connections for readiness, metrics and snapshots.
     LIST_HEAD(, endpoint_conn) endpoint_conns;
     TAILQ_HEAD(, caller_conn) callers;
-    size_t n_requests;     ///< number of requests in progress
-    size_t response_bytes; ///< allocated for the bodies of their responses
+    size_t n_requests; ///< number of requests in progress
     /// Calls to agents in progress that belong to no request.
     LIST_HEAD(, release_call) release_calls;
     LIST_HEAD(, model_load_call) model_load_calls;
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -47,10 +47,6 @@
 /// system when they are freed. By default glibc raises the limit to the
 /// largest block that was ever freed.
 #define MMAP_THRESHOLD_BYTES (256 * 1024)
-/// Memory for what callers have yet to read. With as much for the responses
-/// that targets have yet to complete, a gateway stays below 120 MB.
-#define OUTPUT_MAX_BYTES ((size_t)32 * 1024 * 1024)
-
 struct timespec
 Gateway_Now(const struct gateway *gateway)
 {
@@ -153,7 +149,13 @@
     gateway->started_at = Gateway_Now(gateway);
     TAILQ_INIT(&gateway->callers);
     Endpoints_InitCounters(gateway);
-    CmH1Output_Start(gateway->base, gateway->clock, OUTPUT_MAX_BYTES);
+    CmMemoryBudget_Init(&gateway->memory, gateway->clock,
+                        (size_t)settings->peer_memory_mib * CM_MIB);
+    CmH1Output_Start(gateway->base, gateway->clock, &gateway->memory);
+    CmH1Intake_Init(&gateway->callers_intake, &gateway->memory, gateway->clock,
+                    0);
+    CmH1Intake_Init(&gateway->endpoints_intake, &gateway->memory,
+                    gateway->clock, 0);
     CmH1Pool_Init(&gateway->pool, gateway->base, gateway->clock);
     CmDemand_Init(&gateway->demand);
     CmTargets_Init(&gateway->targets, settings->common.zone,
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -778,6 +778,7 @@
     request->placement_timer =
         evtimer_new(gateway->base, on_placement_timer, request);
     Successor_Init(&request->search);
+    TargetCall_Init(request);
     gateway->n_requests++;
     gateway->count.requests.value++;
     CmCallCodec_DecodeRequest(head, &request->parsed);
@@ -787,6 +788,11 @@
                            "too many connections are open");
         return;
     }
+    if (caller->has_no_memory) {
+        Response_SendLocal(request, STATUS_UNAVAILABLE,
+                           "requests take too much memory");
+        return;
+    }
     if (gateway->catalog == NULL) {
         Response_SendLocal(request, STATUS_UNAVAILABLE,
                            "no configuration is known yet");
--- a/programs/coriandermoor/gateway/request_defs.h
+++ b/programs/coriandermoor/gateway/request_defs.h
@@ -48,8 +48,9 @@
     struct cm_h1_call call;
     struct cm_live_target *target; ///< NULL without an attempt
     struct cm_target_response response;
-    GString *head; ///< response head for the caller
-    GString *body; ///< of an unstreamed response
+    GString *head;              ///< response head for the caller
+    GString *body;              ///< of an unstreamed response
+    struct cm_memory_hold hold; ///< of body and incomplete event
     struct timespec sent_at;
     int64_t sent_wall_ms;           ///< the same in Unix time
     struct timespec first_event_at; ///< of this attempt; 0 for none
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -3,6 +3,8 @@
 
 #include "target_call.h"
 
+#include <stddef.h>
+
 #include "base/hash.h"
 #include "crash_watch.h"
 #include "lease.h"
@@ -11,10 +13,6 @@
 
 /// Largest response body that is buffered before it is forwarded.
 #define BODY_MAX_BYTES ((size_t)8 * 1024 * 1024)
-/// Memory for the bodies of all responses that are buffered. Half of what a
-/// gateway may use (64 MiB), as a body is copied when it is forwarded. Beyond
-/// it the longest response ends as one that is too long.
-#define ALL_BODIES_MAX_BYTES ((size_t)32 * 1024 * 1024)
 /// Longest idle time of a pooled connection that is reused. A request that
 /// must not run twice gets the shorter limit, as the target may just be
 /// closing an idle connection.
@@ -71,13 +69,22 @@
     return true;
 }
 
+/// Updates the memory that the response takes.
+static void
+update_hold(struct request *request)
+{
+    const struct attempt *attempt = &request->attempt;
+    size_t body = attempt->body != NULL ? attempt->body->allocated_len : 0;
+    CmMemoryHold_Set(&request->attempt.hold,
+                     body + CmEventStream_HeldBytes(&request->events));
+}
+
 /// Forgets the body of the last attempt and frees its memory.
 static void
 drop_body(struct request *request)
 {
     struct attempt *attempt = &request->attempt;
     if (attempt->body != NULL) {
-        request->gateway->response_bytes -= attempt->body->allocated_len;
         g_string_free(attempt->body, TRUE);
         attempt->body = NULL;
     }
@@ -88,50 +95,29 @@
 {
     drop_body(request);
     request->attempt.body = g_string_new(NULL);
-    request->gateway->response_bytes += request->attempt.body->allocated_len;
+    update_hold(request);
 }
 
+/// Ends a response as one that is too long, as all of them take too much
+/// memory.
 static void
-append_body(struct request *request, const void *data, size_t size)
+release_response(struct cm_memory_hold *hold)
 {
-    GString *body = request->attempt.body;
-    request->gateway->response_bytes -= body->allocated_len;
-    g_string_append_len(body, data, (gssize)size);
-    request->gateway->response_bytes += body->allocated_len;
-}
-
-/// @return the request whose response body takes the most memory.
-static struct request *
-find_longest_response(struct gateway *gateway)
-{
-    struct request *longest = NULL;
-    struct caller_conn *caller;
-    TAILQ_FOREACH(caller, &gateway->callers, link)
-    {
-        struct request *request = caller->request;
-        if (request != NULL && request->attempt.body != NULL &&
-            CmH1Call_Active(&request->attempt.call) &&
-            (longest == NULL || request->attempt.body->allocated_len >
-                                    longest->attempt.body->allocated_len)) {
-            longest = request;
-        }
-    }
-    return longest;
+    struct request *request =
+        (struct request *)((char *)hold -
+                           offsetof(struct request, attempt.hold));
+    CmH1Call_Cancel(&request->attempt.call);
+    begin_body(request);
+    hold->release = NULL;
+    Request_FinishAttempt(request, CM_H1_CALL_INVALID);
 }
 
-/// Ends the longest responses while all bodies take too much memory.
+/// Counts what has arrived of a response. May end this request.
 static void
-limit_bodies(struct gateway *gateway)
+count_response(struct request *request)
 {
-    while (gateway->response_bytes > ALL_BODIES_MAX_BYTES) {
-        struct request *longest = find_longest_response(gateway);
-        if (longest == NULL) {
-            return;
-        }
-        CmH1Call_Cancel(&longest->attempt.call);
-        begin_body(longest);
-        Request_FinishAttempt(longest, CM_H1_CALL_INVALID);
-    }
+    update_hold(request);
+    CmMemoryBudget_Enforce(&request->gateway->memory, CM_MEMORY_RESPONSES);
 }
 
 static void
@@ -145,19 +131,20 @@
             // What follows is not read, and it may have no end.
             CmH1Call_Cancel(&attempt->call);
             Request_FinishAttempt(request, CM_H1_CALL_INVALID);
+            return;
         }
+        count_response(request);
         return;
     }
     if (attempt->body->len + size > BODY_MAX_BYTES) {
         attempt->invalid = true;
         return;
     }
-    append_body(request, data, size);
+    g_string_append_len(attempt->body, data, (gssize)size);
     if (is_success(attempt->response.status)) {
         Request_CountProgress(request);
     }
-    // May end this request.
-    limit_bodies(request->gateway);
+    count_response(request);
 }
 
 static void
@@ -174,7 +161,9 @@
 static void
 on_end(void *context, enum cm_h1_call_result end)
 {
-    Request_FinishAttempt(context, end);
+    struct request *request = context;
+    request->attempt.hold.release = NULL;
+    Request_FinishAttempt(request, end);
 }
 
 static const struct cm_h1_call_handler call_handler = {on_head, on_body,
@@ -273,6 +262,7 @@
     bool started = CmH1Call_Start(&attempt->call, &gateway->pool, &call,
                                   &call_handler, request);
     if (started) {
+        attempt->hold.release = release_response;
         attempt->target = CmTarget_Ref(target);
         target->in_flight++;
         count_send(request, target);
@@ -290,10 +280,18 @@
 TargetCall_Cancel(struct request *request)
 {
     CmH1Call_Cancel(&request->attempt.call);
+    request->attempt.hold.release = NULL;
     Lease_ReleaseAttempt(request);
     release_target(request);
 }
 
+void
+TargetCall_Init(struct request *request)
+{
+    CmMemoryHold_Init(&request->attempt.hold, &request->gateway->memory,
+                      CM_MEMORY_RESPONSES, NULL);
+}
+
 void
 TargetCall_Finish(struct request *request)
 {
@@ -302,4 +300,5 @@
         g_string_free(request->attempt.head, TRUE);
     }
     drop_body(request);
+    CmMemoryHold_Finish(&request->attempt.hold);
 }
--- a/programs/coriandermoor/gateway/target_call.h
+++ b/programs/coriandermoor/gateway/target_call.h
@@ -6,6 +6,10 @@
 
 #include "request_defs.h"
 
+/// Initializes what TargetCall_Finish() frees.
+void
+TargetCall_Init(struct request *request);
+
 /// Sends the request to `target`.
 /// @return false if no connection could be started.
 bool
