fix(http): limit the header section of responses

Gateways and slot agents have limits (e2e_endless), the HTTP client of the older path had none: it took 64 MiB of a header line.

Cause: evhttp's limit of a header section is off by default, and was set for servers only.

Change: 64 KiB for responses, too.

Evidence: http_test, heads without an end: failed before (67,108,864 bytes were taken, bound 32 MiB), passes now.

--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -14,6 +14,9 @@
 
 #include "base/clock.h"
 
+/// Longest header section of a response.
+#define HEADER_MAX_BYTES (64 * 1024)
+
 struct connection {
     TAILQ_ENTRY(connection) link;
     struct evhttp_connection *evcon;
@@ -245,6 +248,8 @@
     connection = g_new0(struct connection, 1);
     connection->evcon =
         evhttp_connection_base_new(client->base, NULL, host, port);
+    evhttp_connection_set_max_headers_size(connection->evcon,
+                                           HEADER_MAX_BYTES);
     return connection;
 }
 
--- a/packages/http/tests/http_test.c
+++ b/packages/http/tests/http_test.c
@@ -3,7 +3,9 @@
 /// and refused connections, timeouts and cancelled calls.
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <signal.h>
 #include <string.h>
 
@@ -199,6 +201,87 @@
     fixture_finish(&fixture);
 }
 
+/// Server whose response never ends.
+struct endless {
+    const char *beginning;
+    struct bufferevent *bev;
+    size_t sent;
+};
+
+/// More than any part of a response that is held until it is complete.
+#define ENDLESS_BYTES ((size_t)64 * 1024 * 1024)
+#define ENDLESS_BLOCK_BYTES ((size_t)64 * 1024)
+/// What the server may get rid of: the limit of the client, and the buffers of
+/// the system.
+#define ENDLESS_TAKEN_MAX_BYTES ((size_t)32 * 1024 * 1024)
+
+static void
+send_block(struct bufferevent *bev, void *context)
+{
+    struct endless *endless = context;
+    static char block[ENDLESS_BLOCK_BYTES];
+    if (endless->sent < ENDLESS_BYTES) {
+        memset(block, 'x', sizeof(block));
+        bufferevent_write(bev, block, sizeof(block));
+        endless->sent += sizeof(block);
+    }
+}
+
+static void
+on_endless_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                  struct sockaddr *address, int size, void *context)
+{
+    struct endless *endless = context;
+    endless->bev = bufferevent_socket_new(evconnlistener_get_base(listener),
+                                          fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(endless->bev, NULL, send_block, NULL, endless);
+    bufferevent_enable(endless->bev, EV_WRITE);
+    bufferevent_write(endless->bev, endless->beginning,
+                      strlen(endless->beginning));
+}
+
+static void
+test_heads_without_an_end(void)
+{
+    static const char *const beginnings[] = {
+        "HTTP/1.1 200 OK\r\nX-Long: ",
+    };
+    // The client closes while the server still writes.
+    signal(SIGPIPE, SIG_IGN);
+    for (size_t i = 0; i < G_N_ELEMENTS(beginnings); i++) {
+        struct fixture fixture;
+        fixture_init(&fixture);
+        char address[32];
+        int port = StandinProcess_FreePort();
+        g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+        struct sockaddr_in endpoint;
+        int size = sizeof(endpoint);
+        evutil_parse_sockaddr_port(address, (struct sockaddr *)&endpoint,
+                                   &size);
+        struct endless endless = {.beginning = beginnings[i]};
+        struct evconnlistener *listener =
+            evconnlistener_new_bind(fixture.base, on_endless_accept, &endless,
+                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                    1, (struct sockaddr *)&endpoint, size);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(listener);
+        struct call_record call_record;
+        call_record_start(&call_record, &fixture, address, EVHTTP_REQ_GET, "/",
+                          NULL, 1000);
+        event_base_dispatch(fixture.base);
+        CU_ASSERT_EQUAL(call_record.done_count, 1);
+        CU_ASSERT_EQUAL(call_record.result, CM_HTTP_INTERRUPTED);
+        if (endless.sent > ENDLESS_TAKEN_MAX_BYTES) {
+            printf("\"%s\": %zu bytes were taken\n", beginnings[i],
+                   endless.sent);
+        }
+        CU_ASSERT(endless.sent <= ENDLESS_TAKEN_MAX_BYTES);
+        g_string_free(call_record.body, TRUE);
+        evconnlistener_free(listener);
+        bufferevent_free(endless.bev);
+        fixture_finish(&fixture);
+    }
+}
+
 static void
 stop_loop(evutil_socket_t fd, short what, void *context)
 {
@@ -255,6 +338,7 @@
 static const struct cm_test tests[] = {
     {"call results", test_call_results},
     {"large response", test_large_response},
+    {"heads without an end", test_heads_without_an_end},
     {"cancel", test_cancel},
     {"split address", test_split_address},
 };
