--- a/testing/soak/stops.py
+++ b/testing/soak/stops.py
@@ -12,6 +12,7 @@
 """
 import argparse
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -320,7 +321,8 @@
     parser.add_argument("--seconds", type=float, default=60)
     parser.add_argument("--callers", type=int, default=100)
     parser.add_argument("--engines", type=int, default=4)
-    parser.add_argument("--port", type=int, default=24000)
+    parser.add_argument("--port", type=int, default=int(
+        os.environ.get("CM_TEST_PORT", 23000)) + 100)
     parser.add_argument("--late", type=float, nargs="*", default=[0.0],
                         help="s for which the process may not run at SIGTERM")
     args = parser.parse_args()
