fix(gateway): allow for ticks that run between a pause and the signal handler

Cause: the signal was taken to be sent after the last tick but one. A pass that is held up ends with its tick, and the next one is due at once; both run before the handler. SIGSTOP, with which the tests pause processes, hits an idle process in its wait, where this can't happen.

A process without requests ends at its time limit, also before the end of the grace time.

--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -31,6 +31,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/histogram.h"
+#include "base/signal_time.h"
 #include "config/program.h"
 #include "dispatch/catalog.h"
 #include "dispatch/config_age.h"
@@ -133,12 +134,11 @@
 /// Progress of a graceful shutdown; see shutdown.c.
 struct gateway_shutdown {
     bool active;
-    struct timespec noticed_at;    ///< when the signal was handled
-    struct timespec signalled_at;  ///< earliest time at which it was sent
-    struct timespec ticked_at;     ///< last tick
-    struct timespec ticked_before; ///< the tick before
-    struct event *end_timer;       ///< end of the requests in progress
-    bool quiet;                    ///< the last tick found nothing to wait for
+    struct timespec noticed_at;   ///< when the signal was handled
+    struct timespec signalled_at; ///< earliest time at which it was sent
+    struct cm_signal_time signal_time;
+    struct event *end_timer; ///< end of the requests in progress
+    bool quiet;              ///< the last tick found nothing to wait for
     bool closed_idle;
     bool ended_requests;
     struct gateway_counters before; ///< the counters when it began
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -101,6 +101,7 @@
 on_tick(evutil_socket_t fd, short what, void *context)
 {
     struct gateway *gateway = context;
+    Shutdown_CountTick(gateway);
     load_missing_models(gateway);
     CmRoster_Tick(&gateway->gossip.roster);
     if (gateway->ticks++ % POLL_TICKS == 0 || !gateway->gossip.synced) {
--- a/programs/coriandermoor/gateway/shutdown.c
+++ b/programs/coriandermoor/gateway/shutdown.c
@@ -28,8 +28,7 @@
 /// Part of the time until requests are ended during which any is accepted, as
 /// the others need time to be served.
 #define ACCEPT_PART 2
-/// Requests still in progress are ended this long before the shutdown's time
-/// limit.
+/// Requests still in progress are ended this long before the time limit.
 #define MARGIN_MS 500
 /// Part of it that the last of them may take to be written.
 #define LAST_FLUSH_MS 200
@@ -83,8 +82,7 @@
 {
     gateway->shutdown.end_timer =
         evtimer_new(gateway->base, on_end_timer, gateway);
-    gateway->shutdown.ticked_at = Gateway_Now(gateway);
-    gateway->shutdown.ticked_before = gateway->shutdown.ticked_at;
+    CmSignalTime_Init(&gateway->shutdown.signal_time, Gateway_Now(gateway));
 }
 
 void
@@ -105,10 +103,8 @@
     }
     shutdown->active = true;
     shutdown->noticed_at = Gateway_Now(gateway);
-    // A process that got no processor time handles the signal late. It can't
-    // have come before the last tick but one: after a pause, the tick that is
-    // due runs before the handler.
-    shutdown->signalled_at = shutdown->ticked_before;
+    // A process that got no processor time handles the signal late.
+    shutdown->signalled_at = CmSignalTime_Earliest(&shutdown->signal_time);
     shutdown->before = gateway->count;
     start_end_timer(gateway);
     CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
@@ -183,7 +179,7 @@
     if (left_ms <= 0) {
         end_requests(gateway);
     }
-    if (since_ms < GRACE_MS || gateway->n_requests > 0 ||
+    if ((since_ms < GRACE_MS && left_ms > 0) || gateway->n_requests > 0 ||
         (!TAILQ_EMPTY(&gateway->callers) && left_ms > 0)) {
         shutdown->quiet = false;
         return;
@@ -208,13 +204,16 @@
     shutdown->quiet = quiet;
 }
 
+void
+Shutdown_CountTick(struct gateway *gateway)
+{
+    CmSignalTime_Tick(&gateway->shutdown.signal_time, Gateway_Now(gateway));
+}
+
 void
 Shutdown_Tick(struct gateway *gateway)
 {
-    struct gateway_shutdown *shutdown = &gateway->shutdown;
-    shutdown->ticked_before = shutdown->ticked_at;
-    shutdown->ticked_at = Gateway_Now(gateway);
-    if (shutdown->active) {
+    if (gateway->shutdown.active) {
         advance(gateway);
     }
 }
--- a/programs/coriandermoor/gateway/shutdown.h
+++ b/programs/coriandermoor/gateway/shutdown.h
@@ -19,12 +19,16 @@
 void
 Shutdown_Begin(struct gateway *gateway, int signal_number);
 
-/// Advances the shutdown. To be called at each tick, also before it begins.
+/// Records a tick. To be called first at each tick, also before a shutdown.
+void
+Shutdown_CountTick(struct gateway *gateway);
+
+/// Advances the shutdown, if it has begun. To be called last at each tick.
 void
 Shutdown_Tick(struct gateway *gateway);
 
-/// @return ms until the requests in progress are ended, or INT64_MAX if no
-/// shutdown has begun.
+/// @return ms until the requests in progress are ended, but for streams that
+/// have begun, or INT64_MAX if no shutdown has begun.
 int64_t
 Shutdown_LeftMs(const struct gateway *gateway);
 
--- a/testing/soak/stops.py
+++ b/testing/soak/stops.py
@@ -244,10 +244,11 @@
                  and request.ended_at > at]
         if not stops:
             return "outside of a stop"
-        stop = stops[0]
-        runs = [(target, run) for target in
-                self.deployment.engines + self.deployment.plains
-                for run in target.runs if run[0] == request.id]
+        stop = max(stops)  # the process of an earlier one has ended
+        runs = sorted(((target, run) for target in
+                       self.deployment.engines + self.deployment.plains
+                       for run in target.runs if run[0] == request.id),
+                      key=lambda item: item[1][5])
         if not runs:
             if request.ended_at - request.sent_by <= SLACK_S:
                 return None
