fix(gateway): end begun streams by the notice of the signal

What callers saw: with SIGTERM at the end of a pause of 0.9 s, streams that would have been complete 6.9 s after it were cut at 6.6 s.

Cause: the earliest possible time of the signal lies before the pause. It is the safe one for what can still be refused or answered; a stream that has begun gains nothing by an end before the process is killed.

Change: at the limit as counted from the signal, requests whose response has not begun are ended; streams go on until the limit as counted from the notice.

Evidence: scripts/e2e-planned-stops, cut_as_the_signal_came_after_a_pause, pauses of 0.9 and 1.2 s, release build: failed before (6 of 6 without a whole response), passes now; the other three cases pass.

--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -378,13 +378,15 @@
 }
 
 void
-CallerConns_EndRequests(struct gateway *gateway)
+CallerConns_EndRequests(struct gateway *gateway, bool streams)
 {
     struct caller_conn *caller;
     struct caller_conn *next;
     CmTailq_FOREACH_SAFE (caller, &gateway->callers, link, next) {
         if (caller->request != NULL) {
-            Request_EndForShutdown(caller->request);
+            if (streams || !caller->request->retry.answer_started) {
+                Request_EndForShutdown(caller->request);
+            }
         }
         else if (CmH1Conn_HasBegun(&caller->conn)) {
             reject(caller, STATUS_UNAVAILABLE, "the gateway stops");
--- a/programs/coriandermoor/gateway/caller_conns.h
+++ b/programs/coriandermoor/gateway/caller_conns.h
@@ -37,10 +37,11 @@
 void
 CallerConns_Finish(struct gateway *gateway);
 
-/// Ends all requests in progress, and those that have not arrived completely,
+/// Ends the requests in progress, and those that have not arrived completely,
 /// at the end of a shutdown.
+/// @param streams whether responses that have begun end, too.
 void
-CallerConns_EndRequests(struct gateway *gateway);
+CallerConns_EndRequests(struct gateway *gateway, bool streams);
 
 /// Closes connections without a request in progress or on its way. A request
 /// counts as on its way once a part has arrived, and for a short time after a
--- a/programs/coriandermoor/gateway/shutdown.c
+++ b/programs/coriandermoor/gateway/shutdown.c
@@ -57,6 +57,15 @@
     return (int64_t)(gateway->settings.stop_s * MS_PER_S) - MARGIN_MS;
 }
 
+/// @return ms until streams that have begun are cut. Unlike a response that
+/// has not begun, they gain nothing by an end before the process is killed, so
+/// that their time counts from the notice of the signal.
+static int64_t
+streams_left_ms(const struct gateway *gateway)
+{
+    return total_ms(gateway) - since_notice_ms(gateway);
+}
+
 /// Waits for the time limit, and checks more often once it has passed.
 static void
 start_end_timer(struct gateway *gateway)
@@ -161,10 +170,12 @@
     if (!gateway->shutdown.ended_requests) {
         gateway->shutdown.ended_requests = true;
         CmLog_Event(G_LOG_LEVEL_INFO, "shutdown", NULL,
-                    "time is up after %" PRId64 " ms: %zu requests are ended",
-                    since_notice_ms(gateway), gateway->n_requests);
+                    "time is up after %" PRId64 " ms: %zu requests are ended, "
+                    "streams that have begun in %" PRId64 " ms",
+                    since_notice_ms(gateway), gateway->n_requests,
+                    MAX(streams_left_ms(gateway), 0));
     }
-    CallerConns_EndRequests(gateway);
+    CallerConns_EndRequests(gateway, streams_left_ms(gateway) <= 0);
 }
 
 static void
@@ -187,7 +198,8 @@
     CmH1Listener_AcceptWaiting(&gateway->callers_listener);
     CmH1Listener_Finish(&gateway->callers_listener);
     if (left_ms <= 0) {
-        if (CmH1Conn_Flushing() > 0 && left_ms > -LAST_FLUSH_MS) {
+        if (CmH1Conn_Flushing() > 0 &&
+            streams_left_ms(gateway) > -LAST_FLUSH_MS) {
             return;
         }
         struct timeval linger = CmTime_Timeval(FLUSH_MS);
