fix(memory): serve several large requests at once, and uploads beside slow ones

What callers saw: since the budget, a gateway served one of two uploads of 4 MiB at once in calm and refused the other with 503; beside a crowd that sends a byte now and then, bodies of 300 kB and more got 503.

Cause: a large body counted with the room that its buffer reserves, twice what it uses; each request could take half of what was left from the first one on; and a byte made a message count as one that still arrives.

Change: of large bodies the used pages count. The rule for what is left holds in the last eighth of a class. Messages of 16 KiB and more that arrive with less than 128 bytes/ms on average are released first.

--- a/packages/memory/include/memory/budget.h
+++ b/packages/memory/include/memory/budget.h
@@ -29,9 +29,9 @@
 CmMemoryBudget_Enforce(struct cm_memory_budget *budget,
                        enum cm_memory_class class);
 
-/// @return whether a hold of `bytes` may join a class. Beside others it gets
-/// at most half of what is left there, so that small ones still fit beside
-/// many large ones. A denial is counted.
+/// @return whether a hold of `bytes` may join a class. Once half of the class
+/// is taken, it gets at most half of what is left, so that small ones still
+/// fit beside many large ones. A denial is counted.
 bool
 CmMemoryBudget_Admit(struct cm_memory_budget *budget,
                      enum cm_memory_class class, size_t bytes);
--- a/packages/memory/include/memory/budget_defs.h
+++ b/packages/memory/include/memory/budget_defs.h
@@ -34,6 +34,7 @@
     struct cm_memory_budget *budget;
     enum cm_memory_class class;
     size_t bytes;
+    struct timespec begun_at;    ///< when the peer began what it is held for
     struct timespec progress_at; ///< when the peer last sent or read something
     /// Gives the memory back, usually by ending the connection; NULL if it is
     /// never released.
--- a/packages/memory/src/budget.c
+++ b/packages/memory/src/budget.c
@@ -7,6 +7,9 @@
 
 #define MS_PER_S 1000
 
+/// Part of a class that is left to small holds.
+#define SMALL_PART 8
+
 /// Order in which the holds of a class are released.
 struct release_order {
     const char *name;
@@ -15,6 +18,22 @@
                      const struct cm_memory_hold *second, struct timespec now);
 };
 
+/// Age from which the mean rate of a message tells whether it is slow.
+#define SLOW_MIN_MS 1000
+/// Mean rate in bytes per ms below which a message that holds SLOW_MIN_BYTES
+/// is slow: half a minute for the usual largest body (4 MiB).
+#define SLOW_BYTES_PER_MS 128
+#define SLOW_MIN_BYTES ((size_t)16 * 1024)
+
+/// @return whether the message arrives slowly, whatever its pauses.
+static bool
+is_slow(const struct cm_memory_hold *hold, struct timespec now)
+{
+    int64_t age_ms = CmTime_DiffMs(now, hold->begun_at);
+    return hold->bytes >= SLOW_MIN_BYTES && age_ms > SLOW_MIN_MS &&
+           hold->bytes < (size_t)age_ms * SLOW_BYTES_PER_MS;
+}
+
 /// Weighs the size with the time for which the peer has sent nothing, so that
 /// a large message that stands still goes before one that still arrives, and
 /// short messages stay.
@@ -29,7 +48,11 @@
 is_stalled_longer(const struct cm_memory_hold *first,
                   const struct cm_memory_hold *second, struct timespec now)
 {
-    return stalled_bytes(first, now) > stalled_bytes(second, now);
+    bool first_slow = is_slow(first, now);
+    bool second_slow = is_slow(second, now);
+    return first_slow != second_slow
+               ? first_slow
+               : stalled_bytes(first, now) > stalled_bytes(second, now);
 }
 
 static bool
@@ -115,7 +138,8 @@
     size_t used = budget->classes[class].bytes;
     size_t max = budget->class_max_bytes;
     size_t room = used < max ? max - used : 0;
-    bool admitted = room > 0 && bytes <= (used > 0 ? room / 2 : room);
+    bool admitted = room > 0 && (used + bytes <= max - max / SMALL_PART ||
+                                 bytes <= (used > 0 ? room / 2 : room));
     budget->classes[class].denied += !admitted;
     return admitted;
 }
@@ -158,7 +182,8 @@
     }
     struct cm_memory_budget *budget = hold->budget;
     if (hold->bytes == 0) {
-        hold->progress_at = CmClock_Now(budget->clock);
+        hold->begun_at = CmClock_Now(budget->clock);
+        hold->progress_at = hold->begun_at;
         TAILQ_INSERT_TAIL(&budget->classes[hold->class].holds, hold, link);
     }
     else if (bytes == 0) {
--- a/packages/memory/src/intake.c
+++ b/packages/memory/src/intake.c
@@ -100,6 +100,9 @@
 CmIntakeClient_Arriving(struct cm_intake_client *client, size_t bytes)
 {
     struct cm_memory_budget *budget = client->intake->budget;
+    if (client->phase == CM_INTAKE_IDLE) {
+        client->hold.begun_at = CmClock_Now(client->intake->clock);
+    }
     client->phase = CM_INTAKE_ARRIVING;
     client->since = CmClock_Now(client->intake->clock);
     CmMemoryHold_Set(&client->hold, bytes);
--- a/programs/coriandermoor/gateway/caller_conns.c
+++ b/programs/coriandermoor/gateway/caller_conns.c
@@ -25,6 +25,7 @@
 #define OVER_LIMIT_MAX 100
 /// Memory of a body that is kept for the next one.
 #define BODY_KEPT_BYTES ((gsize)4096)
+#define PAGE_BYTES ((gsize)4096)
 /// Added to the configured timeouts, as a request may be in transit.
 #define TIMEOUT_MARGIN_MS 2000
 
@@ -92,11 +93,15 @@
     caller_free(caller);
 }
 
-/// @return memory that the connection's request takes.
+/// @return memory that the connection's request takes. Of a large body the
+/// system provides just the pages that are used.
 static size_t
 held_bytes(const struct caller_conn *caller)
 {
-    return CmH1Conn_HeldInput(&caller->conn) + caller->body->allocated_len;
+    const GString *body = caller->body;
+    return CmH1Conn_HeldInput(&caller->conn) +
+           MIN(body->allocated_len,
+               MAX(body->len + PAGE_BYTES, (gsize)MMAP_THRESHOLD_BYTES));
 }
 
 /// Frees what the last request took, and waits for the next one.
--- a/programs/coriandermoor/gateway/gateway.h
+++ b/programs/coriandermoor/gateway/gateway.h
@@ -54,6 +54,10 @@
 struct request;
 struct caller_conn;
 
+/// Allocations of this size, as of long bodies, return their memory to the
+/// system when they are freed. By default glibc raises the limit to the
+/// largest block that was ever freed.
+#define MMAP_THRESHOLD_BYTES (256 * 1024)
 /// Crashes of targets after which a content is refused: the platform's limit.
 #define GATEWAY_CRASHES_TO_REFUSE 3
 
--- a/programs/coriandermoor/gateway/gateway_main.c
+++ b/programs/coriandermoor/gateway/gateway_main.c
@@ -43,10 +43,6 @@
 #define DEFAULT_GATEWAYS 32
 /// Time after which a lower reported count replaces a higher one.
 #define GATEWAYS_VALID_MS 10000
-/// Allocations of this size, as of long bodies, return their memory to the
-/// system when they are freed. By default glibc raises the limit to the
-/// largest block that was ever freed.
-#define MMAP_THRESHOLD_BYTES (256 * 1024)
 struct timespec
 Gateway_Now(const struct gateway *gateway)
 {
