fix(h1): serve requests that don't wait for responses one by one

Cause: all requests in the buffer of a connection were answered in one pass, and output is only limited once the pass has ended. Connections that wait for the end of their peers had no limit for the process.

Change: the next request of a connection is parsed once the response before is written. At most 100 finished connections wait for their peers to end; more close the one that has waited for the longest time.

--- a/packages/h1/src/conn.c
+++ b/packages/h1/src/conn.c
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "base/clock.h"
+#include "base/list.h"
 #include "h1/output.h"
 
 /// Socket and parser of a connection. While the parser runs, this outlives the
@@ -29,6 +30,7 @@
     bool parsing;
     bool message_begun; ///< a byte of the current message has been read
     bool message_done;  ///< the current message has been read
+    bool awaits_write;  ///< input is parsed once all output is written
     bool no_body;       ///< the response is to a HEAD request
     bool in_value;      ///< the parser is inside a header value
     /// The header section is complete: trailer fields that follow the body are
@@ -50,6 +52,8 @@
 #define FLUSH_TIMEOUT_S 5
 /// Memory of a head that is kept for the next one.
 #define HEAD_KEPT_BYTES ((gsize)4096)
+/// Finished connections of all ports that wait for their peers to end, too.
+#define LINGERING_MAX 100
 /// Output is copied in blocks of this size, as the memory of a block is freed
 /// once all of it is written.
 #define BLOCK_BYTES ((size_t)64 * 1024)
@@ -301,6 +305,24 @@
     g_free(io);
 }
 
+/// Closes the connection that has waited for its peer for the longest time
+/// while there are too many.
+static void
+limit_lingering(void)
+{
+    struct cm_h1_io *io = NULL;
+    if (n_detached > LINGERING_MAX) {
+        CmTailq_FOREACH (io, &detached, link) {
+            if (io->linger_timer != NULL) {
+                break;
+            }
+        }
+    }
+    if (io != NULL) {
+        io_free(io);
+    }
+}
+
 static void
 on_linger_timer(evutil_socket_t fd, short what, void *context)
 {
@@ -321,6 +343,7 @@
     io->linger_timer =
         evtimer_new(bufferevent_get_base(io->bev), on_linger_timer, io);
     evtimer_add(io->linger_timer, &timeout);
+    limit_lingering();
 }
 
 static void
@@ -455,12 +478,12 @@
 static void
 parse_input(struct cm_h1_io *io)
 {
-    if (io->parsing) {
+    if (io->parsing || io->awaits_write) {
         return;
     }
     io->parsing = true;
     struct evbuffer *input = bufferevent_get_input(io->bev);
-    while (io->conn != NULL && !io->message_done &&
+    while (io->conn != NULL && !io->message_done && !io->awaits_write &&
            evbuffer_get_length(input) > 0) {
         size_t size = evbuffer_get_contiguous_space(input);
         const char *data = (const char *)evbuffer_pullup(input, (int)size);
@@ -504,9 +527,19 @@
 on_write(struct bufferevent *bev, void *context)
 {
     struct cm_h1_io *io = context;
+    io->parsing = true;
     if (io->conn != NULL && io->conn->handler->drained != NULL) {
         io->conn->handler->drained(io->conn->context);
     }
+    io->parsing = false;
+    if (io->conn == NULL) {
+        free_detached(io);
+        return;
+    }
+    if (io->awaits_write) {
+        io->awaits_write = false;
+        parse_input(io);
+    }
 }
 
 /// Handles a close by the peer: completes a response whose body ends by the
@@ -719,6 +752,10 @@
     shrink_head(conn->io);
     start_message(conn->io);
     conn->io->no_body = false;
+    // Requests that follow each other without a wait for their responses are
+    // served one by one, so that responses don't pile up.
+    conn->io->awaits_write = conn->io->parser.type == HTTP_REQUEST &&
+                             CmH1Conn_PendingOutput(conn) > 0;
     parse_input(conn->io);
 }
 
