fix(gateway,agent): limit names that peers choose

What was seen: 900 lease requests that name other gateways, 500 kB each, made an agent hold more than its bound; each name stayed for over 10 s. 15,000 names of adapters of 14 kB made a gateway hold 180 MB. Found by the review.

Cause: names of gateways and of adapters are kept in tables without a limit.

An ended response also frees its incomplete event.

The other names: by reading and the review, no test.

--- a/packages/dispatch/src/demand.c
+++ b/packages/dispatch/src/demand.c
@@ -17,6 +17,9 @@
 #define DROP_BELOW 0.01
 /// Least number of adapters at which the table is searched for old ones.
 #define SWEEP_MIN 256
+/// Adapters that are counted: twice those of the largest deployment. Callers
+/// may name others.
+#define ADAPTERS_MAX 50000
 
 struct demand_count {
     double weight; ///< as of `counted_at`
@@ -70,6 +73,9 @@
     struct demand_count *count = g_hash_table_lookup(demand->counts, adapter);
     if (count == NULL) {
         sweep(demand, now);
+        if (g_hash_table_size(demand->counts) >= ADAPTERS_MAX) {
+            return;
+        }
         count = g_new0(struct demand_count, 1);
         count->counted_at = now;
         g_hash_table_insert(demand->counts, g_strdup(adapter), count);
--- a/packages/dispatch/src/event_stream.c
+++ b/packages/dispatch/src/event_stream.c
@@ -25,7 +25,8 @@
 void
 CmEventStream_Resume(struct cm_event_stream *events)
 {
-    g_string_truncate(events->partial, 0);
+    g_string_free(events->partial, TRUE);
+    events->partial = g_string_new(NULL);
     events->scanned = 0;
     events->line_length = 0;
 }
--- a/packages/residency/src/lease_message.c
+++ b/packages/residency/src/lease_message.c
@@ -6,6 +6,9 @@
 #include <jansson.h>
 #include <string.h>
 
+/// Longest name in a request: longer than any of a deployment.
+#define NAME_MAX_BYTES ((size_t)256)
+
 static const char *const outcome_names[] = {"held", "pinned", "late", "busy",
                                             "down"};
 
@@ -70,6 +73,10 @@
                 (number == NULL && request_numbers[i].optional);
         *value = json_integer_value(number);
     }
+    const char *const names[] = {id, gateway, target, model, adapter, reports};
+    for (size_t i = 0; valid && i < G_N_ELEMENTS(names); i++) {
+        valid = names[i] == NULL || strlen(names[i]) <= NAME_MAX_BYTES;
+    }
     if (valid) {
         request->id = g_strdup(id);
         request->gateway = g_strdup(gateway);
--- a/programs/coriandermoor-agent/slots/lease_server.c
+++ b/programs/coriandermoor-agent/slots/lease_server.c
@@ -26,6 +26,8 @@
 /// Time without a lease request after which a gateway does not count as
 /// active.
 #define GATEWAY_TIMEOUT_MS 10000
+/// Gateways that are counted, as those that get load reports.
+#define GATEWAYS_MAX 512
 #define STATUS_OK 200
 #define STATUS_BAD_REQUEST 400
 #define STATUS_NOT_FOUND 404
@@ -548,6 +550,10 @@
 static void
 record_gateway(struct slots *slots, const char *name)
 {
+    if (g_hash_table_size(slots->gateways) >= GATEWAYS_MAX &&
+        !g_hash_table_contains(slots->gateways, name)) {
+        return;
+    }
     struct timespec *last_request = g_new(struct timespec, 1);
     *last_request = Slots_Now(slots);
     g_hash_table_replace(slots->gateways, g_strdup(name), last_request);
--- a/programs/coriandermoor/gateway/request.c
+++ b/programs/coriandermoor/gateway/request.c
@@ -806,8 +806,9 @@
         return;
     }
     if (!CmCallCodec_HasValidNames(&request->parsed)) {
-        Response_SendLocal(request, STATUS_BAD_REQUEST,
-                           "the id or the model is no valid UTF-8");
+        Response_SendLocal(
+            request, STATUS_BAD_REQUEST,
+            "the id or the model is too long, or no valid UTF-8");
         return;
     }
     request->route =
--- a/programs/coriandermoor/gateway/target_call.c
+++ b/programs/coriandermoor/gateway/target_call.c
@@ -107,6 +107,7 @@
         (struct request *)((char *)hold -
                            offsetof(struct request, attempt.hold));
     CmH1Call_Cancel(&request->attempt.call);
+    CmEventStream_Resume(&request->events);
     begin_body(request);
     hold->release = NULL;
     Request_FinishAttempt(request, CM_H1_CALL_INVALID);
