test(fleet): engines keep their pace when timers are late

Cause: the stand-in engine waited event_interval_s after each event, so that the delay of each timer added up. The stream of 700 events took 8.82 to 8.89 s here (three runs), of which 7 s and a silence of 1.4 s were meant, and its caller leaves after 9 s. A stream that ends at the deadline is no cut, but it does not count as served either.

Change: an event is due one interval after the one before, unless the stream is late by a whole event (a silence, a suspended stand-in).

--- a/testing/fleet/standin.py
+++ b/testing/fleet/standin.py
@@ -717,9 +717,13 @@
         self.active_runs += 1
         self.in_memory[id(run)] = run
         self.stream_counts[adapter] = self.stream_counts.get(adapter, 0) + 1
+        due = time.monotonic()
         try:
             for number in range(last + 1, length + 1):
-                await asyncio.sleep(self.event_interval_s)
+                # Late timers don't slow the stream, unless by a whole event.
+                due = max(due, time.monotonic() - self.event_interval_s)
+                due += self.event_interval_s
+                await asyncio.sleep(due - time.monotonic())
                 while self.unresponsive:
                     await asyncio.sleep(0.02)
                 if (self.cut_after_events
