fix(entry): deliver the error event of a stream that is broken off

What callers saw: a stream whose target is lost ended without the event "broken_off" that says so.

Cause: Reply_AbortStream() wrote the output buffer by evbuffer_write() and freed the connection. A bufferevent freezes the front of its output buffer, so that nothing was written, and the close discarded the event. Class: output that a close discards.

--- a/programs/coriandermoor/replies.c
+++ b/programs/coriandermoor/replies.c
@@ -159,27 +159,36 @@
     exchange->request = NULL;
 }
 
+static void
+close_after_write(struct evhttp_connection *connection, void *request)
+{
+    CmHttp_CloseWithoutReply(request);
+}
+
+static void
+free_after_close(struct evhttp_connection *connection, void *request)
+{
+    CmHttp_FreeDetached(request);
+}
+
 void
 Reply_AbortStream(struct exchange *exchange, const char *message)
 {
     struct evhttp_request *request = exchange->request;
     exchange->request = NULL;
+    CmHttp_UnwatchClose(request);
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    if (connection == NULL) {
+        return;
+    }
+    evhttp_connection_set_closecb(connection, free_after_close, request);
     struct evbuffer *chunk = evbuffer_new();
     evbuffer_add_printf(chunk,
                         "data: {\"error\":{\"message\":\"%s\",\"type\":"
                         "\"broken_off\"}}\n\n",
                         message);
-    evhttp_send_reply_chunk(request, chunk);
+    evhttp_send_reply_chunk_with_cb(request, chunk, close_after_write,
+                                    request);
     evbuffer_free(chunk);
-    CmHttp_UnwatchClose(request);
-    struct evhttp_connection *connection =
-        evhttp_request_get_connection(request);
-    if (connection != NULL) {
-        // Closing drops the output buffer, so write it out first.
-        struct bufferevent *bev =
-            evhttp_connection_get_bufferevent(connection);
-        bufferevent_flush(bev, EV_WRITE, BEV_FLUSH);
-        evbuffer_write(bufferevent_get_output(bev), bufferevent_getfd(bev));
-        evhttp_connection_free(connection);
-    }
 }
