fix(entry): requests get their responses at the end of a planned stop

Cause: entry_finish() ended them after the event loop, when nothing writes any more, and the limit counted from the notice of the signal, so that a process without processor time was killed before.

Change: they are ended 200 ms before the limit, which counts from the earliest time at which the signal can have been sent (base/signal_time.h), while the loop still runs. A request that was not sent to a target is reported as not run. A second signal does the same at once.

The older agent frees its jobs at its own limit; their callers get answers from the entry, before this change, too (stopped_agents), so that nothing changes there.

--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/signal_time.h"
 #include "config/config.h"
 #include "config/settings.h"
 #include "http/client.h"
@@ -165,7 +166,8 @@
     uint64_t next_connection; ///< number in the next connection's name
     bool shutting_down;
     bool flushing; ///< no exchange is waited for; responses are written out
-    struct timespec shutdown_started_at;
+    struct cm_signal_time signal_time;
+    struct timespec signalled_at; ///< earliest time of the first stop signal
 
     struct cm_http_objects objects;
     struct cm_http_instances instances;
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -34,7 +34,6 @@
 #define SUSPENSION_MIN_MS 300
 #define ZMQ_SOCKETS_MAX 20000
 #define MS_PER_S 1000
-#define STATUS_UNAVAILABLE 503
 
 struct timespec
 Entry_Now(const struct entry *entry)
@@ -95,24 +94,31 @@
     event_base_loopbreak(((struct entry *)context)->base);
 }
 
-/// Schedules the exit of a shutdown once no exchange is left, or when the stop
-/// timeout of the settings is over.
+/// Ends the exchanges that are left, and exits once their responses are
+/// written.
+static void
+finish_shutdown(struct entry *entry)
+{
+    entry->flushing = true;
+    Exchange_FailAll(entry);
+    struct timeval flush_time = CmTime_Timeval(FLUSH_MS);
+    event_base_once(entry->base, -1, EV_TIMEOUT, exit_event_loop, entry,
+                    &flush_time);
+}
+
+/// Finishes a shutdown once no exchange is left, or in time for the exit when
+/// the stop timeout of the settings is over.
 static void
 stop_when_idle(struct entry *entry)
 {
     if (!entry->shutting_down || entry->flushing) {
         return;
     }
-    int64_t since_ms =
-        CmTime_DiffMs(Entry_Now(entry), entry->shutdown_started_at);
-    if (!TAILQ_EMPTY(&entry->exchanges) &&
-        since_ms < entry->settings.stop_ms) {
-        return;
+    int64_t since_ms = CmTime_DiffMs(Entry_Now(entry), entry->signalled_at);
+    if (TAILQ_EMPTY(&entry->exchanges) ||
+        since_ms >= entry->settings.stop_ms - FLUSH_MS) {
+        finish_shutdown(entry);
     }
-    entry->flushing = true;
-    struct timeval flush_time = CmTime_Timeval(FLUSH_MS);
-    event_base_once(entry->base, -1, EV_TIMEOUT, exit_event_loop, entry,
-                    &flush_time);
 }
 
 /// Resets the links' timeouts if the gap between two ticks shows that the
@@ -140,6 +146,7 @@
 run_periodic_tasks(evutil_socket_t fd, short what, void *context)
 {
     struct entry *entry = context;
+    CmSignalTime_Tick(&entry->signal_time, Entry_Now(entry));
     detect_suspension(entry);
     CmMembers_UpdateStates(&entry->members, Entry_Now(entry));
     Links_Tick(entry);
@@ -159,20 +166,25 @@
 
 /// Starts a graceful shutdown on the first signal: the entry reports not
 /// ready, rejects new requests and finishes those in progress. A second signal
-/// exits at once.
+/// ends these at once.
 static void
 begin_shutdown(evutil_socket_t fd, short what, void *context)
 {
     struct entry *entry = context;
     if (entry->shutting_down) {
-        event_base_loopbreak(entry->base);
+        if (!entry->flushing) {
+            finish_shutdown(entry);
+        }
         return;
     }
+    entry->shutting_down = true;
+    // A process that got no processor time handles the signal late.
+    entry->signalled_at = CmSignalTime_Earliest(&entry->signal_time);
     CmLog_Event(G_LOG_LEVEL_INFO, "entry", NULL,
-                "shutting down: %" PRId64 " requests are in progress",
+                "shutting down, by a signal sent up to %" PRId64
+                " ms ago: %" PRId64 " requests are in progress",
+                CmTime_DiffMs(Entry_Now(entry), entry->signalled_at),
                 entry->count.in_progress.value);
-    entry->shutting_down = true;
-    entry->shutdown_started_at = Entry_Now(entry);
 }
 
 static void
@@ -206,6 +218,7 @@
 {
     const struct cm_entry_settings *settings = &entry->settings;
     entry->clock = CmClock_System();
+    CmSignalTime_Init(&entry->signal_time, Entry_Now(entry));
     entry->base = event_base_new();
     entry->random = g_rand_new();
     entry->zmq = zmq_ctx_new();
@@ -240,11 +253,7 @@
 static void
 entry_finish(struct entry *entry)
 {
-    struct exchange *exchange;
-    while ((exchange = TAILQ_FIRST(&entry->exchanges)) != NULL) {
-        Exchange_Fail(exchange, STATUS_UNAVAILABLE, "unavailable",
-                      "this entry has stopped", CM_OUTCOME_UNKNOWN, 1);
-    }
+    Exchange_FailAll(entry);
     if (entry->callers != NULL) {
         evhttp_free(entry->callers);
     }
--- a/programs/coriandermoor/exchange.c
+++ b/programs/coriandermoor/exchange.c
@@ -576,6 +576,36 @@
     exchange_free(exchange);
 }
 
+/// @return whether the request, or an earlier one with its key, may have run.
+static bool
+may_have_run(const struct exchange *exchange)
+{
+    if (exchange->possible_runs > 0 || exchange->seal_id != NULL) {
+        return true;
+    }
+    const struct attempt *attempt;
+    CmTailq_FOREACH (attempt, &exchange->attempts, in_exchange) {
+        if (attempt->phase != CM_ATTEMPT_UNSENT) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Exchange_FailAll(struct entry *entry)
+{
+    struct exchange *exchange;
+    struct exchange *next;
+    CmTailq_FOREACH_SAFE (exchange, &entry->exchanges, link, next) {
+        Exchange_Fail(exchange, STATUS_UNAVAILABLE, "unavailable",
+                      "this entry has stopped",
+                      may_have_run(exchange) ? CM_OUTCOME_UNKNOWN
+                                             : CM_OUTCOME_NOT_RUN,
+                      1);
+    }
+}
+
 static void
 fail_at_deadline(evutil_socket_t fd, short what, void *context)
 {
@@ -590,11 +620,9 @@
                                       CM_REASON_DEADLINE);
         return;
     }
-    bool possibly_ran =
-        exchange->possible_runs > 0 || exchange->seal_id != NULL;
-    Exchange_Fail(exchange, STATUS_GATEWAY_TIMEOUT, "timeout",
-                  "the deadline has passed",
-                  possibly_ran ? CM_OUTCOME_UNKNOWN : CM_OUTCOME_NOT_RUN, 1);
+    Exchange_Fail(
+        exchange, STATUS_GATEWAY_TIMEOUT, "timeout", "the deadline has passed",
+        may_have_run(exchange) ? CM_OUTCOME_UNKNOWN : CM_OUTCOME_NOT_RUN, 1);
 }
 
 static void
--- a/programs/coriandermoor/exchange.h
+++ b/programs/coriandermoor/exchange.h
@@ -103,6 +103,10 @@
 Exchange_Fail(struct exchange *exchange, int status, const char *type,
               const char *message, enum cm_outcome outcome, int retry_after_s);
 
+/// Ends all exchanges with an error response, as the entry stops.
+void
+Exchange_FailAll(struct entry *entry);
+
 /// Ends with the recorded answer of an earlier request. Frees the exchange.
 void
 Exchange_Replay(struct exchange *exchange, int status, const char *headers,
