fix(agent): limit the connections to the port for operators

What clients could do: 3,000 half requests held 3,019 descriptors of an agent of the older path; with its usual limit of descriptors it would no longer reach its target. e2e-entry-crowds, half_requests at /metrics, failed before (bound 1,500).

Cause: its evhttp server limits one request, not the number of connections or their sum.

Change: the listener is guarded as those of an entry (http/guard.h): 100 connections without a request in progress, 8 MiB over all.

Result: 119 descriptors; 2 of 2 cases at the port pass, sanitized build.

--- a/programs/coriandermoor-agent/admin.c
+++ b/programs/coriandermoor-agent/admin.c
@@ -10,6 +10,11 @@
 #define HEADER_MAX_BYTES 16384
 #define BODY_MAX_BYTES 16384
 #define IDLE_TIMEOUT_MS 30000
+/// Connections without a request in progress; a new one takes the place of one
+/// of them.
+#define CONNECTIONS_MAX 100
+/// Memory that clients can make the agent hold over all connections.
+#define CLIENT_MEMORY_BYTES ((size_t)8 * 1024 * 1024)
 #define STATUS_UNAVAILABLE 503
 
 void
@@ -53,7 +58,11 @@
 {
     struct agent *agent = context;
     const char *path = CmHttp_Path(request);
-    if (strcmp(path, "/metrics") == 0) {
+    if (!CmHttpGuard_Begin(&agent->admin_guard, request)) {
+        CmHttp_ReplyError(request, STATUS_UNAVAILABLE, "overloaded",
+                          "requests take too much memory");
+    }
+    else if (strcmp(path, "/metrics") == 0) {
         GString *text = g_string_new(NULL);
         CmCounters_Write(&agent->counters, text);
         CmLinkTraffic_WriteMetrics(&agent->traffic, text);
@@ -82,5 +91,20 @@
     agent->admin =
         CmHttpServer_Listen(agent->base, agent->settings.common.admin, &limits,
                             on_request, agent, error);
-    return agent->admin != NULL;
+    if (agent->admin == NULL) {
+        return false;
+    }
+    CmHttpGuard_Init(&agent->admin_guard, agent->base, agent->clock,
+                     CLIENT_MEMORY_BYTES, CONNECTIONS_MAX);
+    CmHttpGuard_Watch(&agent->admin_guard, agent->admin);
+    return true;
+}
+
+void
+Admin_Finish(struct agent *agent)
+{
+    if (agent->admin != NULL) {
+        evhttp_free(agent->admin);
+        CmHttpGuard_Finish(&agent->admin_guard);
+    }
 }
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -11,6 +11,7 @@
 #include "config/settings.h"
 #include "engine/engine.h"
 #include "http/client.h"
+#include "http/guard.h"
 #include "http/server.h"
 #include "link/socket.h"
 #include "placement/permits.h"
@@ -174,6 +175,7 @@
     struct cm_http_client client;
     struct cm_engine engine;
     struct evhttp *admin;
+    struct cm_http_guard admin_guard;
     uint64_t incarnation;   ///< wall-clock time of the start in ms
     bool shutting_down;     ///< a stop signal arrived
     bool instance_draining; ///< according to an entry's instance list
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -283,9 +283,7 @@
 static void
 agent_finish(struct agent *agent)
 {
-    if (agent->admin != NULL) {
-        evhttp_free(agent->admin);
-    }
+    Admin_Finish(agent);
     Jobs_Finish(agent);
     Orders_Finish(agent);
     Health_Finish(agent);
