fix(http): limit what a server can make the client hold

What could happen: a faulty target or store of the older path that sends a chunk, or the line with its size, without end made the process that called it hold all of it; bodies without end were kept whole. http_test, "responses without an end", failed before in five of six shapes: each server got rid of its 67,108,864 bytes, and the test took 34 s, as evhttp scans a line from its beginning with each block.

Cause: evhttp limits heads and whole bodies, not lines and chunks, and its limit of bodies counts streams, too.

Change: the client makes its calls over the connection pools of h1, as gateways do, whose parser limits heads, lines and bodies and passes chunks on as they arrive. It keeps its own timeouts, pauses and results. Calls whose response is kept name its largest size: objects, instances, orders, crash records, states of other entries. The pool takes its default Keep-Alive time from its owner.

--- a/packages/engine/src/openai.c
+++ b/packages/engine/src/openai.c
@@ -13,9 +13,11 @@
 
 #define STATUS_OK 200
 #define STATUS_CONFLICT 409
+/// Longest response, as of the list of adapters.
+#define RESPONSE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 
 static void
-on_head(void *context, int status, struct evkeyvalq *headers)
+on_head(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct cm_order *)context)->status = status;
 }
@@ -119,6 +121,7 @@
         .body = body,
         .body_size = body != NULL ? strlen(body) : 0,
         .timeout_ms = timeout_ms,
+        .body_max_bytes = RESPONSE_MAX_BYTES,
     };
     order->status = 0;
     g_string_truncate(order->body, 0);
--- a/packages/h1/include/h1/conn.h
+++ b/packages/h1/include/h1/conn.h
@@ -58,6 +58,11 @@
 void
 CmH1Conn_ReadNext(struct cm_h1_conn *conn);
 
+/// Pauses or resumes the reading of input. A close by the peer is not noticed
+/// while it is paused.
+void
+CmH1Conn_SetReading(struct cm_h1_conn *conn, bool reading);
+
 /// Declares that the next response has no body, as it answers a HEAD request.
 void
 CmH1Conn_ExpectNoBody(struct cm_h1_conn *conn);
--- a/packages/h1/include/h1/pool.h
+++ b/packages/h1/include/h1/pool.h
@@ -12,8 +12,7 @@
 /// Connect timeout: a few round trips between zones. Shorter than the 1 s
 /// after which a lost SYN is sent again, as trying another target is quicker.
 #define CM_H1_CONNECT_TIMEOUT_MS 500
-/// Idle time after which a connection is not reused if the server announces no
-/// Keep-Alive timeout.
+/// Initial keep_alive_default_ms of a pool.
 #define CM_H1_KEEP_ALIVE_DEFAULT_MS 900
 /// Subtracted from an announced Keep-Alive timeout, as the request takes time
 /// to reach the server.
@@ -50,7 +49,10 @@
 struct cm_h1_pool {
     struct event_base *base;
     struct cm_clock *clock;
-    GHashTable *peers;          ///< address to struct cm_h1_peer
+    GHashTable *peers; ///< address to struct cm_h1_peer
+    /// Idle time after which a connection is not reused if the server
+    /// announces no Keep-Alive timeout.
+    int64_t keep_alive_default_ms;
     int64_t connections_opened; ///< for the metrics
     uint64_t last_call_id;
 };
@@ -122,6 +124,19 @@
 void
 CmH1Call_Cancel(struct cm_h1_call *call);
 
+/// Pauses or resumes the reading of the response.
+void
+CmH1Call_SetReading(struct cm_h1_call *call, bool reading);
+
+/// @return whether the connection of a call in progress is established.
+bool
+CmH1Call_IsConnected(const struct cm_h1_call *call);
+
+/// @return bytes of the request of a call in progress that are still to be
+/// passed to the kernel.
+size_t
+CmH1Call_Unsent(const struct cm_h1_call *call);
+
 /// @return whether the call is in progress.
 bool
 CmH1Call_Active(const struct cm_h1_call *call);
--- a/packages/h1/src/conn.c
+++ b/packages/h1/src/conn.c
@@ -759,6 +759,17 @@
     parse_input(conn->io);
 }
 
+void
+CmH1Conn_SetReading(struct cm_h1_conn *conn, bool reading)
+{
+    if (reading) {
+        bufferevent_enable(conn->io->bev, EV_READ);
+    }
+    else {
+        bufferevent_disable(conn->io->bev, EV_READ);
+    }
+}
+
 void
 CmH1Conn_ExpectNoBody(struct cm_h1_conn *conn)
 {
--- a/packages/h1/src/pool.c
+++ b/packages/h1/src/pool.c
@@ -86,6 +86,7 @@
 make_idle(struct cm_h1_pool_conn *pool_conn)
 {
     pool_conn->call = NULL;
+    CmH1Conn_SetReading(&pool_conn->conn, true);
     pool_conn->idle_since = CmClock_Now(pool_conn->peer->pool->clock);
     LIST_REMOVE(pool_conn, link);
     LIST_INSERT_HEAD(&pool_conn->peer->idle, pool_conn, link);
@@ -101,7 +102,8 @@
     if (pool_conn->connect_only) {
         struct cm_h1_call *call = pool_conn->call;
         pool_conn->connect_only = false;
-        pool_conn->keep_alive_ms = CM_H1_KEEP_ALIVE_DEFAULT_MS;
+        pool_conn->keep_alive_ms =
+            pool_conn->peer->pool->keep_alive_default_ms;
         make_idle(pool_conn);
         call->pool_conn = NULL;
         call->handler->done(call->context, CM_H1_CALL_COMPLETE);
@@ -116,14 +118,15 @@
 
 /// @return the idle time in ms after which the connection is not reused.
 static int64_t
-keep_alive_timeout_ms(const struct cm_h1_head *head)
+keep_alive_timeout_ms(const struct cm_h1_pool *pool,
+                      const struct cm_h1_head *head)
 {
     const char *keep_alive_header = CmH1Head_Find(head, "Keep-Alive");
     const char *timeout = keep_alive_header != NULL
                               ? strstr(keep_alive_header, "timeout=")
                               : NULL;
     if (timeout == NULL) {
-        return CM_H1_KEEP_ALIVE_DEFAULT_MS;
+        return pool->keep_alive_default_ms;
     }
     long seconds = strtol(timeout + strlen("timeout="), NULL, 10);
     return CLAMP(seconds, 0, KEEP_ALIVE_MAX_S) * MS_PER_S -
@@ -163,7 +166,8 @@
     if (is_to_other_call(pool_conn, head)) {
         return;
     }
-    pool_conn->keep_alive_ms = keep_alive_timeout_ms(head);
+    pool_conn->keep_alive_ms =
+        keep_alive_timeout_ms(pool_conn->peer->pool, head);
     pool_conn->response_matches = call->handler->head(call->context, head);
 }
 
@@ -252,7 +256,11 @@
 CmH1Pool_Init(struct cm_h1_pool *pool, struct event_base *base,
               struct cm_clock *clock)
 {
-    *pool = (struct cm_h1_pool){.base = base, .clock = clock};
+    *pool = (struct cm_h1_pool){
+        .base = base,
+        .clock = clock,
+        .keep_alive_default_ms = CM_H1_KEEP_ALIVE_DEFAULT_MS,
+    };
     pool->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 }
@@ -432,6 +440,24 @@
     }
 }
 
+void
+CmH1Call_SetReading(struct cm_h1_call *call, bool reading)
+{
+    CmH1Conn_SetReading(&call->pool_conn->conn, reading);
+}
+
+bool
+CmH1Call_IsConnected(const struct cm_h1_call *call)
+{
+    return call->pool_conn->established;
+}
+
+size_t
+CmH1Call_Unsent(const struct cm_h1_call *call)
+{
+    return CmH1Conn_PendingOutput(&call->pool_conn->conn);
+}
+
 bool
 CmH1Call_Active(const struct cm_h1_call *call)
 {
--- a/packages/http/include/http/client.h
+++ b/packages/http/include/http/client.h
@@ -1,7 +1,7 @@
 /// @file client.h
-/// HTTP client over evhttp with a connection pool for each address and
-/// streamed responses. The result of a call tells whether the server may have
-/// received the request.
+/// HTTP client with headers in lists, timeouts, and streamed responses that
+/// can be paused, over the connection pools of h1. The result of a call tells
+/// whether the server may have received the request.
 
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
@@ -37,7 +37,7 @@
 void
 CmHttpCall_SetReading(struct cm_http_call *call, bool reading);
 
-/// Splits "IP:PORT".
+/// Splits "HOST:PORT".
 /// @return whether `address` is well formed.
 bool
 CmHttp_SplitAddress(const char *address, char host[CM_HTTP_ADDRESS_MAX_BYTES],
--- a/packages/http/include/http/client_defs.h
+++ b/packages/http/include/http/client_defs.h
@@ -11,11 +11,12 @@
 #include <stdint.h>
 
 #include "base/list.h"
+#include "h1/pool.h"
 
 /// Connections idle for longer are closed instead of reused, so that a call
 /// does not race with the server's own idle timeout.
 #define CM_HTTP_IDLE_MAX_MS 10000
-/// Longest "IP:PORT" and its host part, with the terminating NUL.
+/// Longest "HOST:PORT" and its host part, with the terminating NUL.
 #define CM_HTTP_ADDRESS_MAX_BYTES 128
 
 /// Result of a call.
@@ -28,7 +29,7 @@
 /// Callbacks of one call; any may be NULL. None is called after `done`.
 struct cm_http_handler {
     /// The status line and header section arrived.
-    void (*head)(void *context, int status, struct evkeyvalq *headers);
+    void (*head)(void *context, int status, const struct cm_h1_head *head);
     /// A part of the body arrived; `data` is valid until the callback returns.
     void (*data)(void *context, const void *data, size_t size);
     /// The call is over.
@@ -43,7 +44,7 @@
 /// Request to send. CmHttpCall_Start() copies everything, so the caller may
 /// free the memory once it returns.
 struct cm_http_request {
-    const char *address; ///< IP:PORT
+    const char *address; ///< HOST:PORT
     enum evhttp_cmd_type method;
     const char *path; ///< path and query
     const struct cm_http_header *headers;
@@ -51,14 +52,17 @@
     const void *body;
     size_t body_size;
     int64_t timeout_ms; ///< longest time without progress
+    /// Largest body of the response; a longer one interrupts the call. 0 for
+    /// no limit, where `data` holds on to no more than it can bound.
+    size_t body_max_bytes;
 };
 
 struct cm_http_exchange;
-struct cm_http_pool;
 
 struct cm_http_client {
     struct event_base *base;
-    LIST_HEAD(, cm_http_pool) pools; ///< one for each address
+    struct cm_h1_pool pool;
+    struct timespec expired_at; ///< when old connections were last closed
     LIST_HEAD(, cm_http_exchange) exchanges;
 };
 
--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -1,44 +1,32 @@
 /// @file client.c
-/// Pooled HTTP client over evhttp. An evhttp connection carries one request at
-/// a time and queues others, so each call takes an idle connection or opens
-/// one. Connections are freed from the event loop, as evhttp still uses them
-/// after its callbacks return.
+/// Calls over the connection pools of h1, which limit what a server can make
+/// the client hold. Exchanges are freed from the event loop, so that callbacks
+/// may cancel their calls.
 
 #include "http/client.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <glib.h>
+#include <event2/util.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
+#include "h1/writer.h"
+#include "http/server.h"
 
-/// Longest header section of a response.
-#define HEADER_MAX_BYTES (64 * 1024)
-
-struct connection {
-    TAILQ_ENTRY(connection) link;
-    struct evhttp_connection *evcon;
-    struct timespec idle_since;
-};
-
-struct cm_http_pool {
-    LIST_ENTRY(cm_http_pool) link;
-    char address[CM_HTTP_ADDRESS_MAX_BYTES];
-    TAILQ_HEAD(, connection) idle;
-};
+/// Interval at which connections that were idle for too long are closed.
+#define EXPIRE_INTERVAL_MS 1000
 
 struct cm_http_exchange {
     LIST_ENTRY(cm_http_exchange) link;
     struct cm_http_client *client;
-    struct cm_http_pool *pool;
-    struct connection *connection;
-    struct evhttp_request *request; ///< NULL once evhttp has freed it
-    struct cm_http_call *call;      ///< NULL once cancelled
-    struct event *finish_event;     ///< frees the exchange from the event loop
-    bool head_delivered;            ///< the head callback was called
-    bool reusable;                  ///< the connection goes back to the pool
+    struct cm_h1_call h1_call;
+    struct cm_http_call *call;   ///< NULL once cancelled
+    struct event *finish_event;  ///< frees the exchange from the event loop
+    struct event *timeout_event; ///< no progress
+    struct timeval timeout;
+    size_t unsent; ///< bytes of the request when the timeout was started
+    bool paused;   ///< the response is not read
     enum cm_http_result result;
 };
 
@@ -46,34 +34,19 @@
 CmHttpClient_Init(struct cm_http_client *client, struct event_base *base)
 {
     client->base = base;
-    LIST_INIT(&client->pools);
+    CmH1Pool_Init(&client->pool, base, CmClock_System());
+    client->pool.keep_alive_default_ms = CM_HTTP_IDLE_MAX_MS;
+    client->expired_at = CmClock_Now(CmClock_System());
     LIST_INIT(&client->exchanges);
 }
 
-static void
-connection_free(struct connection *connection)
-{
-    evhttp_connection_free(connection->evcon);
-    g_free(connection);
-}
-
 static void
 exchange_free(struct cm_http_exchange *exchange)
 {
-    struct connection *connection = exchange->connection;
-    if (exchange->request != NULL) {
-        evhttp_cancel_request(exchange->request);
-        exchange->request = NULL;
-    }
-    if (connection != NULL && exchange->reusable) {
-        connection->idle_since = CmClock_Now(CmClock_System());
-        TAILQ_INSERT_HEAD(&exchange->pool->idle, connection, link);
-    }
-    else if (connection != NULL) {
-        connection_free(connection);
-    }
+    CmH1Call_Cancel(&exchange->h1_call);
     LIST_REMOVE(exchange, link);
     event_free(exchange->finish_event);
+    event_free(exchange->timeout_event);
     g_free(exchange);
 }
 
@@ -85,23 +58,13 @@
         if (exchange->call != NULL) {
             exchange->call->exchange = NULL;
         }
-        exchange->reusable = false;
         exchange_free(exchange);
     }
-    struct cm_http_pool *pool;
-    while ((pool = LIST_FIRST(&client->pools)) != NULL) {
-        struct connection *connection;
-        while ((connection = TAILQ_FIRST(&pool->idle)) != NULL) {
-            TAILQ_REMOVE(&pool->idle, connection, link);
-            connection_free(connection);
-        }
-        LIST_REMOVE(pool, link);
-        g_free(pool);
-    }
+    CmH1Pool_Finish(&client->pool);
 }
 
 /// Frees the exchange, then calls the handler's `done`. Runs as an event of
-/// its own, outside of evhttp's callbacks.
+/// its own, outside of the callbacks of h1.
 static void
 finish_exchange(evutil_socket_t fd, short what, void *context)
 {
@@ -121,64 +84,85 @@
 schedule_finish(struct cm_http_exchange *exchange, enum cm_http_result result)
 {
     exchange->result = result;
+    event_del(exchange->timeout_event);
     struct timeval now = {0, 0};
     event_add(exchange->finish_event, &now);
 }
 
 static void
-deliver_head(struct cm_http_exchange *exchange, struct evhttp_request *request)
+restart_timeout(struct cm_http_exchange *exchange)
 {
-    if (exchange->head_delivered) {
+    exchange->unsent = CmH1Call_Unsent(&exchange->h1_call);
+    event_add(exchange->timeout_event, &exchange->timeout);
+}
+
+static void
+on_timeout(evutil_socket_t fd, short what, void *context)
+{
+    struct cm_http_exchange *exchange = context;
+    bool connected = CmH1Call_IsConnected(&exchange->h1_call);
+    if (connected && CmH1Call_Unsent(&exchange->h1_call) < exchange->unsent) {
+        restart_timeout(exchange);
         return;
     }
-    exchange->head_delivered = true;
-    struct cm_http_call *call = exchange->call;
-    if (call != NULL && call->handler->head != NULL) {
-        call->handler->head(call->context,
-                            evhttp_request_get_response_code(request),
-                            evhttp_request_get_input_headers(request));
+    CmH1Call_Cancel(&exchange->h1_call);
+    schedule_finish(exchange,
+                    connected ? CM_HTTP_INTERRUPTED : CM_HTTP_NOT_CONNECTED);
+}
+
+/// Records that a part of the response has arrived.
+static void
+count_progress(struct cm_http_exchange *exchange)
+{
+    if (exchange->call != NULL && !exchange->paused) {
+        restart_timeout(exchange);
     }
 }
 
-static int
-on_headers_complete(struct evhttp_request *request, void *context)
+static bool
+on_head(void *context, const struct cm_h1_head *head)
 {
-    deliver_head(context, request);
-    return 0;
+    struct cm_http_exchange *exchange = context;
+    struct cm_http_call *call = exchange->call;
+    count_progress(exchange);
+    if (call != NULL && call->handler->head != NULL) {
+        call->handler->head(call->context, head->status, head);
+    }
+    return true;
 }
 
 static void
-on_chunk(struct evhttp_request *request, void *context)
+on_body(void *context, const void *data, size_t size)
 {
     struct cm_http_exchange *exchange = context;
-    struct evbuffer *input = evhttp_request_get_input_buffer(request);
-    size_t size = evbuffer_get_length(input);
     struct cm_http_call *call = exchange->call;
-    if (size > 0 && call != NULL && call->handler->data != NULL) {
-        call->handler->data(call->context, evbuffer_pullup(input, -1), size);
+    count_progress(exchange);
+    if (call != NULL && call->handler->data != NULL) {
+        call->handler->data(call->context, data, size);
     }
-    evbuffer_drain(input, size);
 }
 
 static void
-on_request_done(struct evhttp_request *request, void *context)
+on_done(void *context, enum cm_h1_call_result result)
 {
     struct cm_http_exchange *exchange = context;
-    exchange->request = NULL;
-    if (request == NULL) {
-        schedule_finish(exchange, CM_HTTP_INTERRUPTED);
+    switch (result) {
+    case CM_H1_CALL_COMPLETE:
+        schedule_finish(exchange, CM_HTTP_COMPLETE);
         return;
-    }
-    if (evhttp_request_get_response_code(request) == 0) {
+    case CM_H1_CALL_NOT_CONNECTED:
         schedule_finish(exchange, CM_HTTP_NOT_CONNECTED);
         return;
+    case CM_H1_CALL_INTERRUPTED:
+    case CM_H1_CALL_INVALID:
+        schedule_finish(exchange, CM_HTTP_INTERRUPTED);
+        return;
     }
-    deliver_head(exchange, request);
-    on_chunk(request, exchange);
-    exchange->reusable = true;
-    schedule_finish(exchange, CM_HTTP_COMPLETE);
 }
 
+static const struct cm_h1_call_handler h1_handler = {on_head, on_body,
+                                                     on_done};
+
 bool
 CmHttp_SplitAddress(const char *address, char host[CM_HTTP_ADDRESS_MAX_BYTES],
                     uint16_t *port)
@@ -198,113 +182,118 @@
     return true;
 }
 
-static struct cm_http_pool *
-find_pool(struct cm_http_client *client, const char *address)
+/// Resolves the name of a host. Waits for the system's resolver, so that
+/// settings name addresses where this matters.
+/// @return "IP:PORT", to be freed, or NULL.
+static char *
+resolve(const char *address)
 {
-    struct cm_http_pool *pool;
-    CmList_FOREACH (pool, &client->pools, link) {
-        if (strcmp(pool->address, address) == 0) {
-            return pool;
-        }
+    struct sockaddr_in endpoint;
+    int size = sizeof(endpoint);
+    if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&endpoint,
+                                   &size) == 0) {
+        return g_strdup(address);
     }
-    pool = g_new0(struct cm_http_pool, 1);
-    g_strlcpy(pool->address, address, sizeof(pool->address));
-    TAILQ_INIT(&pool->idle);
-    LIST_INSERT_HEAD(&client->pools, pool, link);
-    return pool;
+    char host[CM_HTTP_ADDRESS_MAX_BYTES];
+    uint16_t port;
+    struct evutil_addrinfo hints = {.ai_family = AF_INET,
+                                    .ai_socktype = SOCK_STREAM};
+    struct evutil_addrinfo *found = NULL;
+    if (!CmHttp_SplitAddress(address, host, &port) ||
+        evutil_getaddrinfo(host, NULL, &hints, &found) != 0) {
+        return NULL;
+    }
+    char ip[INET_ADDRSTRLEN];
+    evutil_inet_ntop(AF_INET,
+                     &((struct sockaddr_in *)found->ai_addr)->sin_addr, ip,
+                     sizeof(ip));
+    evutil_freeaddrinfo(found);
+    return g_strdup_printf("%s:%d", ip, port);
 }
 
-/// Takes an idle connection from the pool and closes those that are idle for
-/// too long.
-/// @return the connection, or NULL if none is left.
-static struct connection *
-take_idle_connection(struct cm_http_pool *pool)
+static bool
+has_body_length(enum evhttp_cmd_type method, size_t size)
 {
-    struct connection *connection;
-    struct timespec now = CmClock_Now(CmClock_System());
-    while ((connection = TAILQ_FIRST(&pool->idle)) != NULL) {
-        TAILQ_REMOVE(&pool->idle, connection, link);
-        int64_t idle_ms = CmTime_DiffMs(now, connection->idle_since);
-        if (idle_ms <= CM_HTTP_IDLE_MAX_MS) {
-            return connection;
-        }
-        connection_free(connection);
-    }
-    return NULL;
+    return size > 0 || method == EVHTTP_REQ_POST || method == EVHTTP_REQ_PUT ||
+           method == EVHTTP_REQ_PATCH;
 }
 
-static struct connection *
-get_connection(struct cm_http_client *client, struct cm_http_pool *pool)
+static GString *
+compose_request(const struct cm_http_request *request)
 {
-    struct connection *connection = take_idle_connection(pool);
-    if (connection != NULL) {
-        return connection;
+    GString *message = g_string_new(NULL);
+    CmH1Writer_Request(message, CmHttp_MethodName(request->method),
+                       request->path);
+    CmH1Writer_Header(message, "Host", request->address);
+    for (size_t i = 0; i < request->n_headers; i++) {
+        const struct cm_http_header *header = &request->headers[i];
+        if (strpbrk(header->name, "\r\n") == NULL &&
+            strpbrk(header->value, "\r\n") == NULL) {
+            CmH1Writer_Header(message, header->name, header->value);
+        }
     }
-    char host[CM_HTTP_ADDRESS_MAX_BYTES];
-    uint16_t port;
-    if (!CmHttp_SplitAddress(pool->address, host, &port)) {
-        return NULL;
+    if (has_body_length(request->method, request->body_size)) {
+        CmH1Writer_Body(message, request->body, request->body_size);
+    }
+    else {
+        g_string_append(message, "\r\n");
     }
-    connection = g_new0(struct connection, 1);
-    connection->evcon =
-        evhttp_connection_base_new(client->base, NULL, host, port);
-    evhttp_connection_set_max_headers_size(connection->evcon,
-                                           HEADER_MAX_BYTES);
-    return connection;
+    return message;
 }
 
-static struct evhttp_request *
-build_request(const struct cm_http_request *spec,
-              struct cm_http_exchange *exchange)
+static void
+close_expired(struct cm_http_client *client)
 {
-    struct evhttp_request *request =
-        evhttp_request_new(on_request_done, exchange);
-    evhttp_request_set_header_cb(request, on_headers_complete);
-    evhttp_request_set_chunked_cb(request, on_chunk);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", spec->address);
-    for (size_t i = 0; i < spec->n_headers; i++) {
-        evhttp_add_header(headers, spec->headers[i].name,
-                          spec->headers[i].value);
+    struct timespec now = CmClock_Now(CmClock_System());
+    if (CmTime_DiffMs(now, client->expired_at) >= EXPIRE_INTERVAL_MS) {
+        client->expired_at = now;
+        CmH1Pool_CloseExpired(&client->pool);
     }
-    if (spec->body_size > 0) {
-        // evhttp adds Content-Length for POST and PUT only; without it the
-        // server would parse the body as the next request.
-        char length[24];
-        g_snprintf(length, sizeof(length), "%zu", spec->body_size);
-        evhttp_add_header(headers, "Content-Length", length);
-        evbuffer_add(evhttp_request_get_output_buffer(request), spec->body,
-                     spec->body_size);
+}
+
+/// @return whether a connection could be started.
+static bool
+start_h1_call(struct cm_http_exchange *exchange,
+              const struct cm_http_request *request)
+{
+    char *address = resolve(request->address);
+    if (address == NULL) {
+        return false;
     }
-    return request;
+    GString *message = compose_request(request);
+    struct cm_h1_call_request h1_request = {
+        .address = address,
+        .message = message,
+        .idle_max_ms = CM_HTTP_IDLE_MAX_MS,
+        .no_body = request->method == EVHTTP_REQ_HEAD,
+        .body_max_bytes = request->body_max_bytes,
+    };
+    bool started = CmH1Call_Start(&exchange->h1_call, &exchange->client->pool,
+                                  &h1_request, &h1_handler, exchange);
+    g_string_free(message, TRUE);
+    g_free(address);
+    return started;
 }
 
 void
 CmHttpCall_Start(struct cm_http_call *call, struct cm_http_client *client,
-                 const struct cm_http_request *spec,
+                 const struct cm_http_request *request,
                  const struct cm_http_handler *handler, void *context)
 {
+    close_expired(client);
     struct cm_http_exchange *exchange = g_new0(struct cm_http_exchange, 1);
     exchange->client = client;
-    exchange->pool = find_pool(client, spec->address);
     exchange->call = call;
+    exchange->timeout = CmTime_Timeval(request->timeout_ms);
     exchange->finish_event =
         evtimer_new(client->base, finish_exchange, exchange);
+    exchange->timeout_event = evtimer_new(client->base, on_timeout, exchange);
     LIST_INSERT_HEAD(&client->exchanges, exchange, link);
-    call->exchange = exchange;
-    call->handler = handler;
-    call->context = context;
-    exchange->connection = get_connection(client, exchange->pool);
-    if (exchange->connection == NULL) {
-        schedule_finish(exchange, CM_HTTP_NOT_CONNECTED);
-        return;
+    *call = (struct cm_http_call){exchange, handler, context};
+    if (start_h1_call(exchange, request)) {
+        restart_timeout(exchange);
     }
-    struct timeval timeout = CmTime_Timeval(spec->timeout_ms);
-    evhttp_connection_set_timeout_tv(exchange->connection->evcon, &timeout);
-    exchange->request = build_request(spec, exchange);
-    if (evhttp_make_request(exchange->connection->evcon, exchange->request,
-                            spec->method, spec->path) != 0) {
-        exchange->request = NULL;
+    else {
         schedule_finish(exchange, CM_HTTP_NOT_CONNECTED);
     }
 }
@@ -318,7 +307,6 @@
     }
     call->exchange = NULL;
     exchange->call = NULL;
-    exchange->reusable = false;
     schedule_finish(exchange, CM_HTTP_INTERRUPTED);
 }
 
@@ -331,15 +319,16 @@
 void
 CmHttpCall_SetReading(struct cm_http_call *call, bool reading)
 {
-    if (call->exchange == NULL || call->exchange->connection == NULL) {
+    struct cm_http_exchange *exchange = call->exchange;
+    if (exchange == NULL || !CmH1Call_Active(&exchange->h1_call)) {
         return;
     }
-    struct bufferevent *bev =
-        evhttp_connection_get_bufferevent(call->exchange->connection->evcon);
+    exchange->paused = !reading;
+    CmH1Call_SetReading(&exchange->h1_call, reading);
     if (reading) {
-        bufferevent_enable(bev, EV_READ);
+        restart_timeout(exchange);
     }
     else {
-        bufferevent_disable(bev, EV_READ);
+        event_del(exchange->timeout_event);
     }
 }
--- a/packages/http/tests/http_test.c
+++ b/packages/http/tests/http_test.c
@@ -94,7 +94,7 @@
 };
 
 static void
-on_head(void *context, int status, struct evkeyvalq *headers)
+on_head(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct call_record *)context)->status = status;
 }
@@ -204,6 +204,7 @@
 /// Server whose response never ends.
 struct endless {
     const char *beginning;
+    char fill;
     struct bufferevent *bev;
     size_t sent;
 };
@@ -214,6 +215,7 @@
 /// What the server may get rid of: the limit of the client, and the buffers of
 /// the system.
 #define ENDLESS_TAKEN_MAX_BYTES ((size_t)32 * 1024 * 1024)
+#define ENDLESS_BODY_MAX_BYTES ((size_t)1024 * 1024)
 
 static void
 send_block(struct bufferevent *bev, void *context)
@@ -221,7 +223,7 @@
     struct endless *endless = context;
     static char block[ENDLESS_BLOCK_BYTES];
     if (endless->sent < ENDLESS_BYTES) {
-        memset(block, 'x', sizeof(block));
+        memset(block, endless->fill, sizeof(block));
         bufferevent_write(bev, block, sizeof(block));
         endless->sent += sizeof(block);
     }
@@ -240,15 +242,28 @@
                       strlen(endless->beginning));
 }
 
+/// Responses that are no answer, and the limit of their bodies.
+static const struct {
+    const char *beginning;
+    char fill;
+    size_t body_max_bytes;
+} endless_cases[] = {
+    {"HTTP/1.1 200 OK\r\nX-Long: ", 'x', 0},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", '0', 0},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", 'x', 0},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8000000\r\n", 'x',
+     ENDLESS_BODY_MAX_BYTES},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 134217728\r\n\r\n", 'x',
+     ENDLESS_BODY_MAX_BYTES},
+    {"HTTP/1.1 200 OK\r\n\r\n", 'x', ENDLESS_BODY_MAX_BYTES},
+};
+
 static void
-test_heads_without_an_end(void)
+test_responses_without_an_end(void)
 {
-    static const char *const beginnings[] = {
-        "HTTP/1.1 200 OK\r\nX-Long: ",
-    };
     // The client closes while the server still writes.
     signal(SIGPIPE, SIG_IGN);
-    for (size_t i = 0; i < G_N_ELEMENTS(beginnings); i++) {
+    for (size_t i = 0; i < G_N_ELEMENTS(endless_cases); i++) {
         struct fixture fixture;
         fixture_init(&fixture);
         char address[32];
@@ -258,23 +273,32 @@
         int size = sizeof(endpoint);
         evutil_parse_sockaddr_port(address, (struct sockaddr *)&endpoint,
                                    &size);
-        struct endless endless = {.beginning = beginnings[i]};
+        struct endless endless = {.beginning = endless_cases[i].beginning,
+                                  .fill = endless_cases[i].fill};
         struct evconnlistener *listener =
             evconnlistener_new_bind(fixture.base, on_endless_accept, &endless,
                                     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
                                     1, (struct sockaddr *)&endpoint, size);
         CU_ASSERT_PTR_NOT_NULL_FATAL(listener);
-        struct call_record call_record;
-        call_record_start(&call_record, &fixture, address, EVHTTP_REQ_GET, "/",
-                          NULL, 1000);
+        struct call_record call_record = {.base = fixture.base,
+                                          .body = g_string_new(NULL)};
+        struct cm_http_request request = {
+            .address = address,
+            .method = EVHTTP_REQ_GET,
+            .path = "/",
+            .timeout_ms = 1000,
+            .body_max_bytes = endless_cases[i].body_max_bytes,
+        };
+        CmHttpCall_Start(&call_record.call, &fixture.client, &request,
+                         &handler, &call_record);
         event_base_dispatch(fixture.base);
         CU_ASSERT_EQUAL(call_record.done_count, 1);
         CU_ASSERT_EQUAL(call_record.result, CM_HTTP_INTERRUPTED);
         if (endless.sent > ENDLESS_TAKEN_MAX_BYTES) {
-            printf("\"%s\": %zu bytes were taken\n", beginnings[i],
-                   endless.sent);
+            printf("case %zu: %zu bytes were taken\n", i, endless.sent);
         }
         CU_ASSERT(endless.sent <= ENDLESS_TAKEN_MAX_BYTES);
+        CU_ASSERT(call_record.body->len <= ENDLESS_BODY_MAX_BYTES);
         g_string_free(call_record.body, TRUE);
         evconnlistener_free(listener);
         bufferevent_free(endless.bev);
@@ -338,7 +362,7 @@
 static const struct cm_test tests[] = {
     {"call results", test_call_results},
     {"large response", test_large_response},
-    {"heads without an end", test_heads_without_an_end},
+    {"responses without an end", test_responses_without_an_end},
     {"cancel", test_cancel},
     {"split address", test_split_address},
 };
--- a/packages/platform/include/platform/objects_defs.h
+++ b/packages/platform/include/platform/objects_defs.h
@@ -18,6 +18,8 @@
 #define CM_WATCH_IDLE_TIMEOUT_MS 4000
 /// Largest object that the API accepts.
 #define CM_OBJECT_MAX_BYTES (1024 * 1024)
+/// Largest response with one object, or event of a watch.
+#define CM_OBJECT_RESPONSE_MAX_BYTES ((size_t)2 * CM_OBJECT_MAX_BYTES)
 
 /// Result of a call.
 enum cm_object_result {
--- a/packages/platform/src/instances.c
+++ b/packages/platform/src/instances.c
@@ -10,9 +10,11 @@
 #include "platform/objects_defs.h"
 
 #define STATUS_OK 200
+/// Longest instance list: 1 KiB for each of 16,384 instances.
+#define LIST_MAX_BYTES ((size_t)16 * 1024 * 1024)
 
 static void
-on_head(void *context, int status, struct evkeyvalq *headers)
+on_head(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct cm_http_instances *)context)->status = status;
 }
@@ -81,6 +83,7 @@
         .method = EVHTTP_REQ_GET,
         .path = "/instances",
         .timeout_ms = CM_OBJECT_TIMEOUT_MS,
+        .body_max_bytes = LIST_MAX_BYTES,
     };
     base->reads++;
     g_string_truncate(instances->body, 0);
--- a/packages/platform/src/objects.c
+++ b/packages/platform/src/objects.c
@@ -18,7 +18,7 @@
 #define STATUS_SERVER_ERROR 500
 
 static void
-on_head(void *context, int status, struct evkeyvalq *headers)
+on_head(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct cm_object_call *)context)->status = status;
 }
@@ -94,6 +94,7 @@
         .body = body,
         .body_size = body != NULL ? strlen(body) : 0,
         .timeout_ms = CM_OBJECT_TIMEOUT_MS,
+        .body_max_bytes = CM_OBJECT_RESPONSE_MAX_BYTES,
     };
     call->active = true;
     call->status = 0;
@@ -171,7 +172,7 @@
     }
     // Bounds the memory of a line without end. The rest of such a line is
     // skipped as malformed JSON.
-    if (watch->partial_line->len > 2 * CM_OBJECT_MAX_BYTES) {
+    if (watch->partial_line->len > CM_OBJECT_RESPONSE_MAX_BYTES) {
         g_string_truncate(watch->partial_line, 0);
     }
 }
--- a/programs/coriandermoor-agent/runs.c
+++ b/programs/coriandermoor-agent/runs.c
@@ -3,7 +3,6 @@
 
 #include "runs.h"
 
-#include <event2/keyvalq_struct.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
@@ -25,7 +24,7 @@
 #define AVERAGE_WEIGHT 0.1
 
 static void
-on_head(void *context, int status, struct evkeyvalq *headers);
+on_head(void *context, int status, const struct cm_h1_head *head);
 static void
 on_data(void *context, const void *data, size_t size);
 static void
@@ -187,42 +186,36 @@
 
 /// @return the header lines of the response that are passed on to the caller.
 static char *
-response_header_lines(struct evkeyvalq *headers)
+response_header_lines(const struct cm_h1_head *head)
 {
-    static const char *const omitted[] = {"Connection", "Transfer-Encoding",
-                                          "Content-Length", "Keep-Alive",
-                                          "Date"};
     GString *lines = g_string_new(NULL);
-    struct evkeyval *header;
-    TAILQ_FOREACH(header, headers, next)
-    {
-        bool keep = true;
-        for (size_t i = 0; i < G_N_ELEMENTS(omitted); i++) {
-            keep &= g_ascii_strcasecmp(header->key, omitted[i]) != 0;
-        }
-        if (keep) {
-            g_string_append_printf(lines, "%s: %s\r\n", header->key,
-                                   header->value);
+    for (size_t i = 0; i < CmH1Head_Count(head); i++) {
+        const char *value;
+        const char *name = CmH1Head_Field(head, i, &value);
+        if (!CmH1Head_IsHopByHop(head, name) &&
+            g_ascii_strcasecmp(name, "Content-Length") != 0 &&
+            g_ascii_strcasecmp(name, "Date") != 0) {
+            g_string_append_printf(lines, "%s: %s\r\n", name, value);
         }
     }
     return g_string_free(lines, FALSE);
 }
 
 static void
-on_head(void *context, int status, struct evkeyvalq *headers)
+on_head(void *context, int status, const struct cm_h1_head *head)
 {
     struct job *job = context;
     if (job->head != NULL) {
         return; // a resumed stream; its head was sent before
     }
     job->status = status;
-    const char *type = evhttp_find_header(headers, "Content-Type");
+    const char *type = CmH1Head_Find(head, "Content-Type");
     job->streaming =
         type != NULL && g_str_has_prefix(type, "text/event-stream");
     job->not_loaded =
         job->agent->settings.engine && status == STATUS_NOT_FOUND;
     if (!job->not_loaded) {
-        job->head = response_header_lines(headers);
+        job->head = response_header_lines(head);
     }
     // Only successful responses of engines name the adapter.
     job->verified = !job->agent->settings.engine || status != STATUS_OK;
--- a/programs/coriandermoor/commands.c
+++ b/programs/coriandermoor/commands.c
@@ -268,11 +268,11 @@
 };
 
 static void
-store_head(void *context, int status, struct evkeyvalq *headers)
+store_head(void *context, int status, const struct cm_h1_head *head)
 {
     struct admin_call *call = context;
     call->status = status;
-    const char *etag = evhttp_find_header(headers, "ETag");
+    const char *etag = CmH1Head_Find(head, "ETag");
     g_strlcpy(call->etag, etag != NULL ? etag : "", sizeof(call->etag));
 }
 
--- a/programs/coriandermoor/crash_exchange.c
+++ b/programs/coriandermoor/crash_exchange.c
@@ -14,7 +14,7 @@
 #define STATUS_OK 200
 
 static void
-store_status(void *context, int status, struct evkeyvalq *headers)
+store_status(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct entry *)context)->crash_poll.status = status;
 }
@@ -22,10 +22,8 @@
 static void
 append_body(void *context, const void *data, size_t size)
 {
-    GString *body = ((struct entry *)context)->crash_poll.body;
-    if (body->len + size <= CM_EXCHANGE_BYTES_MAX) {
-        g_string_append_len(body, data, (gssize)size);
-    }
+    g_string_append_len(((struct entry *)context)->crash_poll.body, data,
+                        (gssize)size);
 }
 
 static void
@@ -81,6 +79,7 @@
         .body = body,
         .body_size = strlen(body),
         .timeout_ms = CALL_TIMEOUT_MS,
+        .body_max_bytes = CM_EXCHANGE_BYTES_MAX,
     };
     g_string_truncate(poll->body, 0);
     CmHttpCall_Start(&poll->call, &entry->client, &request, &handler, entry);
--- a/programs/coriandermoor/peer_state.c
+++ b/programs/coriandermoor/peer_state.c
@@ -10,10 +10,12 @@
 #include "links.h"
 
 #define PEER_TIMEOUT_MS 2000
+/// Largest response: a configuration of 64 MiB, escaped for JSON.
+#define PEER_STATE_MAX_BYTES ((size_t)128 * 1024 * 1024)
 #define STATUS_OK 200
 
 static void
-store_status(void *context, int status, struct evkeyvalq *headers)
+store_status(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct entry *)context)->peer_poll.status = status;
 }
@@ -121,6 +123,7 @@
         .method = EVHTTP_REQ_GET,
         .path = "/admin/peer-state",
         .timeout_ms = PEER_TIMEOUT_MS,
+        .body_max_bytes = PEER_STATE_MAX_BYTES,
     };
     g_string_truncate(peer_poll->body, 0);
     CmHttpCall_Start(&peer_poll->call, &entry->client, &request, &handler,
--- a/testing/loadgen/blocking_http.c
+++ b/testing/loadgen/blocking_http.c
@@ -20,7 +20,7 @@
 };
 
 static void
-store_status(void *context, int status, struct evkeyvalq *headers)
+store_status(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct blocking_call *)context)->status = status;
 }
--- a/testing/loadgen/run.c
+++ b/testing/loadgen/run.c
@@ -191,7 +191,7 @@
 send_next(struct loop_caller *caller);
 
 static void
-store_status(void *context, int status, struct evkeyvalq *headers)
+store_status(void *context, int status, const struct cm_h1_head *head)
 {
     ((struct loop_caller *)context)->status = status;
 }
--- a/testing/loadgen/sender.c
+++ b/testing/loadgen/sender.c
@@ -43,31 +43,31 @@
 }
 
 static void
-record_head(void *context, int status, struct evkeyvalq *headers)
+record_head(void *context, int status, const struct cm_h1_head *head)
 {
     struct inflight_request *inflight = context;
     struct result *result = &inflight->result;
     result->status = status;
     result->outcome = RESULT_UNKNOWN;
-    const char *outcome = evhttp_find_header(headers, "X-Outcome");
+    const char *outcome = CmH1Head_Find(head, "X-Outcome");
     if (outcome != NULL && strcmp(outcome, "ran") == 0) {
         result->outcome = RESULT_RAN;
     }
     else if (outcome != NULL && strcmp(outcome, "not-run") == 0) {
         result->outcome = RESULT_NOT_RUN;
     }
-    const char *adapter = evhttp_find_header(headers, "X-Adapter");
+    const char *adapter = CmH1Head_Find(head, "X-Adapter");
     if (result->outcome == RESULT_RAN && inflight->adapter[0] != '\0' &&
         (adapter == NULL || strcmp(adapter, inflight->adapter) != 0)) {
         result->wrong = true;
     }
-    const char *id = evhttp_find_header(headers, "X-Request-Id");
+    const char *id = CmH1Head_Find(head, "X-Request-Id");
     g_strlcpy(result->id, id != NULL ? id : "", sizeof(result->id));
-    const char *stall = evhttp_find_header(headers, "X-Stall-Ms");
-    const char *queue = evhttp_find_header(headers, "X-Queue-Ms");
+    const char *stall = CmH1Head_Find(head, "X-Stall-Ms");
+    const char *queue = CmH1Head_Find(head, "X-Queue-Ms");
     result->stall_ms = stall != NULL ? atof(stall) : 0;
     result->queue_ms = queue != NULL ? atof(queue) : 0;
-    result->retry_after = evhttp_find_header(headers, "Retry-After") != NULL;
+    result->retry_after = CmH1Head_Find(head, "Retry-After") != NULL;
 }
 
 static void
