fix(http): reset connections that the guard ends

What clients saw: one that sent a body past the limits of memory hung: 40 MB to the port for operators of an entry, 60 s until its own timeout.

Cause: the guard drops what has arrived and shuts the socket down, so that the close finds no unread input and sends no reset. The client then probes a closed window until the system forgets the connection.

Change: the close resets the connection (SO_LINGER of 0).

--- a/packages/http/src/guard.c
+++ b/packages/http/src/guard.c
@@ -53,15 +53,21 @@
 }
 
 /// Makes evhttp see the end of the connection, once it has read what the
-/// system has received; that is dropped.
+/// system has received; that is dropped. The close then resets the connection:
+/// a client that still sends would wait for room in the window of a peer that
+/// reads no more.
 static void
 end_peer(struct http_peer *peer)
 {
     uncount(peer);
     peer->guard->frees_memory = true;
     if (is_alive(peer)) {
+        evutil_socket_t fd = bufferevent_getfd(peer->bev);
+        struct linger abort_on_close = {.l_onoff = 1};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
+                   sizeof(abort_on_close));
         drop_input(bufferevent_get_input(peer->bev));
-        shutdown(bufferevent_getfd(peer->bev), SHUT_RDWR);
+        shutdown(fd, SHUT_RDWR);
     }
 }
 
