fix(memory): let a configuration arrive that is longer than a class of memory

What operators saw: an entry of the older path refused each configuration over about 16 MB (503 "requests take too much memory") or closed the connection, though 64 MB are documented.

Cause: a class of memory has 32 MiB by default, for all its messages, and the port for operators takes messages that are longer. Class: a limit of a sum below the limit of its items.

Change: a hold may be marked as one that may need more. While its class is full, one of them goes beyond the limit alone, until it ends or, when another one needs it, has stood still for 2 s. Only the port for operators of an entry marks its connections, so that the limits for callers are as before.

--- a/packages/http/include/http/guard.h
+++ b/packages/http/include/http/guard.h
@@ -13,6 +13,14 @@
 
 #include "memory/intake.h"
 
+/// A server that is guarded.
+struct cm_http_guarded {
+    struct cm_http_guard *guard;
+    /// Its messages may need more than the limit of a class of memory: one at
+    /// a time goes beyond it.
+    bool has_large_messages;
+};
+
 struct cm_http_guard {
     struct event_base *base;
     struct cm_memory_budget budget;
@@ -30,9 +38,11 @@
                  struct cm_clock *clock, size_t max_bytes,
                  int64_t max_connections);
 
-/// Guards the connections that a server accepts from now on.
+/// Guards the connections that a server accepts from now on. `guarded` is
+/// memory of the caller, for as long as the server.
 void
-CmHttpGuard_Watch(struct cm_http_guard *guard, struct evhttp *server);
+CmHttpGuard_Watch(struct cm_http_guard *guard, struct evhttp *server,
+                  struct cm_http_guarded *guarded, bool has_large_messages);
 
 /// Records that a request has arrived whole. To be called first by the handler
 /// of a server that is watched.
--- a/packages/http/src/guard.c
+++ b/packages/http/src/guard.c
@@ -151,7 +151,8 @@
 static struct bufferevent *
 new_connection(struct event_base *base, void *context)
 {
-    struct cm_http_guard *guard = context;
+    const struct cm_http_guarded *guarded = context;
+    struct cm_http_guard *guard = guarded->guard;
     // Requests in progress have a limit of their own.
     CmIntake_MakeRoom(&guard->intake, 0);
     struct http_peer *peer = g_new0(struct http_peer, 1);
@@ -163,6 +164,8 @@
     CmIntakeClient_Init(&peer->client, &guard->intake, on_end);
     CmMemoryHold_Init(&peer->output, &guard->budget, CM_MEMORY_OUTPUT,
                       release_output);
+    peer->client.hold.may_go_alone = guarded->has_large_messages;
+    peer->output.may_go_alone = guarded->has_large_messages;
     evbuffer_add_cb(bufferevent_get_input(peer->bev), on_input, peer);
     evbuffer_add_cb(bufferevent_get_output(peer->bev), on_output, peer);
     g_hash_table_insert(guard->peers, peer->bev, peer);
@@ -184,9 +187,11 @@
 }
 
 void
-CmHttpGuard_Watch(struct cm_http_guard *guard, struct evhttp *server)
+CmHttpGuard_Watch(struct cm_http_guard *guard, struct evhttp *server,
+                  struct cm_http_guarded *guarded, bool has_large_messages)
 {
-    evhttp_set_bevcb(server, new_connection, guard);
+    *guarded = (struct cm_http_guarded){guard, has_large_messages};
+    evhttp_set_bevcb(server, new_connection, guarded);
 }
 
 static struct http_peer *
--- a/packages/memory/include/memory/budget.h
+++ b/packages/memory/include/memory/budget.h
@@ -62,6 +62,12 @@
 void
 CmMemoryHold_CountProgress(struct cm_memory_hold *hold);
 
+/// Takes the hold out of the account of its class if it may go alone and no
+/// other one of the class does.
+/// @return whether it does now.
+bool
+CmMemoryHold_GoAlone(struct cm_memory_hold *hold);
+
 /// Moves the hold to another class.
 void
 CmMemoryHold_Move(struct cm_memory_hold *hold, enum cm_memory_class class);
--- a/packages/memory/include/memory/budget_defs.h
+++ b/packages/memory/include/memory/budget_defs.h
@@ -4,6 +4,7 @@
 #ifndef MEMORY_BUDGET_DEFS_H
 #define MEMORY_BUDGET_DEFS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -36,6 +37,9 @@
     size_t bytes;
     struct timespec begun_at;    ///< when the peer began what it is held for
     struct timespec progress_at; ///< when the peer last sent or read something
+    /// It is for a message that may need more than the limit of its class, and
+    /// goes beyond it alone (CmMemoryHold_GoAlone()).
+    bool may_go_alone;
     /// Gives the memory back, usually by ending the connection; NULL if it is
     /// never released.
     void (*release)(struct cm_memory_hold *hold);
@@ -46,8 +50,9 @@
     struct cm_clock *clock;
     size_t class_max_bytes; ///< limit of each class
     struct {
-        size_t bytes;
+        size_t bytes; ///< without `alone`
         TAILQ_HEAD(, cm_memory_hold) holds;
+        struct cm_memory_hold *alone; ///< beyond the limit, or NULL
         int64_t released; ///< holds that were released to keep the limit
         int64_t denied;   ///< holds that were not admitted
     } classes[CM_MEMORY_CLASSES];
--- a/packages/memory/src/budget.c
+++ b/packages/memory/src/budget.c
@@ -9,6 +9,9 @@
 
 /// Part of a class that is left to small holds.
 #define SMALL_PART 8
+/// Time without progress after which a peer whose message goes alone makes
+/// room for another one.
+#define STILL_MS 2000
 
 /// Order in which the holds of a class are released.
 struct release_order {
@@ -97,6 +100,34 @@
     budget->class_max_bytes = max_bytes / CM_MEMORY_CLASSES;
 }
 
+/// @return the largest hold that may go alone and doesn't yet, or NULL.
+static struct cm_memory_hold *
+find_large(const struct cm_memory_budget *budget, enum cm_memory_class class)
+{
+    struct cm_memory_hold *large = NULL;
+    struct cm_memory_hold *hold;
+    CmTailq_FOREACH (hold, &budget->classes[class].holds, link) {
+        if (hold->may_go_alone && hold != budget->classes[class].alone &&
+            (large == NULL || hold->bytes > large->bytes)) {
+            large = hold;
+        }
+    }
+    return large;
+}
+
+/// Releases the hold that goes alone if its peer stands still.
+static void
+release_still(struct cm_memory_budget *budget, enum cm_memory_class class)
+{
+    struct cm_memory_hold *alone = budget->classes[class].alone;
+    struct timespec now = CmClock_Now(budget->clock);
+    if (alone != NULL && alone->release != NULL &&
+        CmTime_DiffMs(now, alone->progress_at) > STILL_MS) {
+        budget->classes[class].released++;
+        alone->release(alone);
+    }
+}
+
 static struct cm_memory_hold *
 find_worst(const struct cm_memory_budget *budget, enum cm_memory_class class)
 {
@@ -104,7 +135,7 @@
     struct cm_memory_hold *worst = NULL;
     struct cm_memory_hold *hold;
     CmTailq_FOREACH (hold, &budget->classes[class].holds, link) {
-        if (hold->release != NULL &&
+        if (hold->release != NULL && hold != budget->classes[class].alone &&
             (worst == NULL || orders[class].is_worse(hold, worst, now))) {
             worst = hold;
         }
@@ -117,6 +148,13 @@
                        enum cm_memory_class class)
 {
     while (budget->classes[class].bytes > budget->class_max_bytes) {
+        struct cm_memory_hold *large = find_large(budget, class);
+        if (large != NULL) {
+            release_still(budget, class);
+        }
+        if (large != NULL && CmMemoryHold_GoAlone(large)) {
+            continue;
+        }
         struct cm_memory_hold *worst = find_worst(budget, class);
         if (worst == NULL) {
             return;
@@ -149,7 +187,9 @@
 {
     size_t total = 0;
     for (size_t i = 0; i < CM_MEMORY_CLASSES; i++) {
+        const struct cm_memory_hold *alone = budget->classes[i].alone;
         total += budget->classes[i].bytes;
+        total += alone != NULL ? alone->bytes : 0;
     }
     return total;
 }
@@ -189,10 +229,28 @@
     else if (bytes == 0) {
         TAILQ_REMOVE(&budget->classes[hold->class].holds, hold, link);
     }
-    budget->classes[hold->class].bytes += bytes - hold->bytes;
+    if (budget->classes[hold->class].alone != hold) {
+        budget->classes[hold->class].bytes += bytes - hold->bytes;
+    }
+    else if (bytes == 0) {
+        budget->classes[hold->class].alone = NULL;
+    }
     hold->bytes = bytes;
 }
 
+bool
+CmMemoryHold_GoAlone(struct cm_memory_hold *hold)
+{
+    struct cm_memory_budget *budget = hold->budget;
+    if (!hold->may_go_alone || hold->bytes == 0 ||
+        budget->classes[hold->class].alone != NULL) {
+        return false;
+    }
+    budget->classes[hold->class].alone = hold;
+    budget->classes[hold->class].bytes -= hold->bytes;
+    return true;
+}
+
 void
 CmMemoryHold_CountProgress(struct cm_memory_hold *hold)
 {
--- a/packages/memory/src/intake.c
+++ b/packages/memory/src/intake.c
@@ -130,13 +130,18 @@
     client->has_requested = true;
     client->since = CmClock_Now(client->intake->clock);
     CmMemoryHold_Finish(&client->hold);
-    if (!CmMemoryBudget_Admit(client->intake->budget, CM_MEMORY_REQUESTS,
-                              bytes)) {
+    bool admitted = CmMemoryBudget_Admit(client->intake->budget,
+                                         CM_MEMORY_REQUESTS, bytes);
+    if (!admitted && !client->hold.may_go_alone) {
         return false;
     }
     CmMemoryHold_Move(&client->hold, CM_MEMORY_REQUESTS);
     CmMemoryHold_Set(&client->hold, bytes);
-    return true;
+    if (admitted || CmMemoryHold_GoAlone(&client->hold)) {
+        return true;
+    }
+    CmMemoryHold_Finish(&client->hold);
+    return false;
 }
 
 void
--- a/packages/memory/tests/budget_test.c
+++ b/packages/memory/tests/budget_test.c
@@ -107,6 +107,51 @@
     }
 }
 
+/// Holds that may go beyond the limit of their class alone.
+static void
+test_large_messages(void)
+{
+    static const struct {
+        const char *text;
+        struct peer peers[2]; ///< the first one goes alone before
+        bool released[2];
+    } cases[] = {
+        {"one alone", {{3000 * KIB, 9000, 0}, {0, 0, 0}}, {false, false}},
+        {"one beside small ones",
+         {{3000 * KIB, 9000, 0}, {900 * KIB, 0, 0}},
+         {false, false}},
+        {"the second one while the first one arrives",
+         {{3000 * KIB, 100, 0}, {1100 * KIB, 0, 0}},
+         {false, true}},
+        {"the first one if it stands still",
+         {{3000 * KIB, 9000, 0}, {1100 * KIB, 0, 0}},
+         {true, false}},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct cm_manual_clock clock;
+        CmManualClock_Init(&clock);
+        struct cm_memory_budget budget;
+        CmMemoryBudget_Init(&budget, &clock.base,
+                            CLASS_MAX_BYTES * KIB * CM_MEMORY_CLASSES);
+        struct cm_memory_hold holds[2];
+        for (size_t j = 0; j < 2; j++) {
+            CmMemoryHold_Init(&holds[j], &budget, CM_MEMORY_ARRIVING, release);
+            holds[j].may_go_alone = true;
+            CmMemoryHold_Set(&holds[j], cases[i].peers[j].bytes);
+            holds[j].progress_at = CmTime_AddMs(CmClock_Now(&clock.base),
+                                                -cases[i].peers[j].idle_ms);
+            CmMemoryBudget_Enforce(&budget, CM_MEMORY_ARRIVING);
+        }
+        for (size_t j = 0; j < 2; j++) {
+            bool released = cases[i].peers[j].bytes > 0 && holds[j].bytes == 0;
+            if (released != cases[i].released[j]) {
+                printf("%s: hold %zu\n", cases[i].text, j);
+            }
+            CU_ASSERT_EQUAL(released, cases[i].released[j]);
+        }
+    }
+}
+
 static void
 test_admission(void)
 {
@@ -167,6 +212,7 @@
 
 static const struct cm_test tests[] = {
     {"order of releases", test_release_order},
+    {"large messages", test_large_messages},
     {"admission", test_admission},
     {"holds that stay", test_holds_that_stay},
 };
--- a/programs/coriandermoor-agent/admin.c
+++ b/programs/coriandermoor-agent/admin.c
@@ -96,7 +96,8 @@
     }
     CmHttpGuard_Init(&agent->admin_guard, agent->base, agent->clock,
                      CLIENT_MEMORY_BYTES, CONNECTIONS_MAX);
-    CmHttpGuard_Watch(&agent->admin_guard, agent->admin);
+    CmHttpGuard_Watch(&agent->admin_guard, agent->admin, &agent->admin_guarded,
+                      false);
     return true;
 }
 
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -176,6 +176,7 @@
     struct cm_engine engine;
     struct evhttp *admin;
     struct cm_http_guard admin_guard;
+    struct cm_http_guarded admin_guarded;
     uint64_t incarnation;   ///< wall-clock time of the start in ms
     bool shutting_down;     ///< a stop signal arrived
     bool instance_draining; ///< according to an entry's instance list
--- a/programs/coriandermoor/admin.c
+++ b/programs/coriandermoor/admin.c
@@ -384,7 +384,9 @@
         CmHttpServer_Listen(entry->base, entry->settings.common.admin, &limits,
                             dispatch_request, entry, error);
     if (entry->admin != NULL) {
-        CmHttpGuard_Watch(&entry->guard, entry->admin);
+        // A configuration takes up to BODY_MAX_BYTES.
+        CmHttpGuard_Watch(&entry->guard, entry->admin, &entry->admin_guarded,
+                          true);
     }
     return entry->admin != NULL;
 }
--- a/programs/coriandermoor/callers.c
+++ b/programs/coriandermoor/callers.c
@@ -331,7 +331,8 @@
         CmHttpServer_Listen(entry->base, settings->listen, &limits,
                             dispatch_request, entry, error);
     if (entry->callers != NULL) {
-        CmHttpGuard_Watch(&entry->guard, entry->callers);
+        CmHttpGuard_Watch(&entry->guard, entry->callers,
+                          &entry->callers_guarded, false);
     }
     return entry->callers != NULL;
 }
--- a/programs/coriandermoor/entry.h
+++ b/programs/coriandermoor/entry.h
@@ -155,6 +155,8 @@
     struct event_base *base;
     struct cm_clock *clock;
     struct cm_http_guard guard; ///< of both listeners
+    struct cm_http_guarded callers_guarded;
+    struct cm_http_guarded admin_guarded;
     void *zmq;
     GRand *random;
     struct cm_http_client client;
