fix(entry,agent): bound the memory of answers that do not end

Cause: an entry keeps the whole answer unless it is a stream, and acknowledges what arrives without a limit; an agent keeps the response of an engine until it knows that the adapter is the right one. Neither counted it. Class: an owner of memory that some paths bypass.

The longest gives way: at an entry with 502 answer_too_long; a stream goes on, as only the part kept for a retry is freed; at an agent the run ends, and the entry may retry it elsewhere.

--- a/programs/coriandermoor-agent/admin.c
+++ b/programs/coriandermoor-agent/admin.c
@@ -10,11 +10,6 @@
 #define HEADER_MAX_BYTES 16384
 #define BODY_MAX_BYTES 16384
 #define IDLE_TIMEOUT_MS 30000
-/// Connections without a request in progress; a new one takes the place of one
-/// of them.
-#define CONNECTIONS_MAX 100
-/// Memory that clients can make the agent hold over all connections.
-#define CLIENT_MEMORY_BYTES ((size_t)8 * 1024 * 1024)
 #define STATUS_UNAVAILABLE 503
 
 void
@@ -58,7 +53,7 @@
 {
     struct agent *agent = context;
     const char *path = CmHttp_Path(request);
-    if (!CmHttpGuard_Begin(&agent->admin_guard, request)) {
+    if (!CmHttpGuard_Begin(&agent->guard, request)) {
         CmHttp_ReplyError(request, STATUS_UNAVAILABLE, "overloaded",
                           "requests take too much memory");
     }
@@ -94,18 +89,7 @@
     if (agent->admin == NULL) {
         return false;
     }
-    CmHttpGuard_Init(&agent->admin_guard, agent->base, agent->clock,
-                     CLIENT_MEMORY_BYTES, CONNECTIONS_MAX);
-    CmHttpGuard_Watch(&agent->admin_guard, agent->admin, &agent->admin_guarded,
+    CmHttpGuard_Watch(&agent->guard, agent->admin, &agent->admin_guarded,
                       false);
     return true;
 }
-
-void
-Admin_Finish(struct agent *agent)
-{
-    if (agent->admin != NULL) {
-        evhttp_free(agent->admin);
-        CmHttpGuard_Finish(&agent->admin_guard);
-    }
-}
--- a/programs/coriandermoor-agent/admin.h
+++ b/programs/coriandermoor-agent/admin.h
@@ -15,8 +15,4 @@
 bool
 Admin_Listen(struct agent *agent, GError **error);
 
-/// Stops the listener, if it was started.
-void
-Admin_Finish(struct agent *agent);
-
 #endif
--- a/programs/coriandermoor-agent/agent.h
+++ b/programs/coriandermoor-agent/agent.h
@@ -107,6 +107,7 @@
     int requeues;            ///< times it went back to the queue
     int consecutive_resumes; ///< since the last byte
     GString *response;       ///< bytes from `response_offset` on
+    struct cm_memory_hold response_hold; ///< until the run ends
     size_t response_offset;
     size_t sendable_end; ///< offset up to which bytes may go to readers
     /// The run was lost; the job ends after the health check under way.
@@ -175,7 +176,7 @@
     struct cm_http_client client;
     struct cm_engine engine;
     struct evhttp *admin;
-    struct cm_http_guard admin_guard;
+    struct cm_http_guard guard; ///< its budget also counts responses
     struct cm_http_guarded admin_guarded;
     uint64_t incarnation;   ///< wall-clock time of the start in ms
     bool shutting_down;     ///< a stop signal arrived
--- a/programs/coriandermoor-agent/jobs.c
+++ b/programs/coriandermoor-agent/jobs.c
@@ -53,6 +53,7 @@
     g_free(job->fingerprint);
     g_free(job->head);
     g_string_free(job->body, TRUE);
+    CmMemoryHold_Finish(&job->response_hold);
     g_string_free(job->response, TRUE);
     g_free(job);
 }
@@ -80,6 +81,8 @@
     job->id = CmBytes_Dup(id);
     job->body = g_string_new(NULL);
     job->response = g_string_new(NULL);
+    CmMemoryHold_Init(&job->response_hold, &agent->guard.budget,
+                      CM_MEMORY_RESPONSES, Run_ReleaseResponse);
     LIST_INIT(&job->readers);
     CmOrder_Init(&job->cancel_order, Run_FinishCancel, job);
     g_hash_table_insert(agent->jobs_by_id, job->id, job);
@@ -467,6 +470,7 @@
     job->outcome = outcome;
     job->reason = reason;
     job->finished_at = now;
+    CmMemoryHold_Finish(&job->response_hold);
     g_string_truncate(job->body, 0);
     count_outcome(agent, outcome);
     Job_SendResponse(job);
--- a/programs/coriandermoor-agent/main.c
+++ b/programs/coriandermoor-agent/main.c
@@ -33,6 +33,12 @@
 /// Gap between two ticks after which the process counts as having been
 /// suspended.
 #define SUSPENDED_MIN_MS 1000
+/// Memory that the target, and clients of the port for operators, can make the
+/// agent hold.
+#define PEER_MEMORY_BYTES ((size_t)128 * 1024 * 1024)
+/// Connections to the port for operators without a request in progress; a new
+/// one takes the place of one of them.
+#define ADMIN_CONNECTIONS_MAX 100
 /// Time to send the last messages before the process ends.
 #define LINGER_MS 300
 
@@ -260,6 +266,8 @@
     agent->incarnation = (uint64_t)CmClock_WallMs(agent->clock);
     init_events(agent);
     Admin_InitCounters(agent);
+    CmHttpGuard_Init(&agent->guard, agent->base, agent->clock,
+                     PEER_MEMORY_BYTES, ADMIN_CONNECTIONS_MAX);
     CmHttpClient_Init(&agent->client, agent->base);
     CmEngine_InitOpenAi(&agent->engine, &agent->client, settings->address,
                         agent->incarnation);
@@ -283,8 +291,11 @@
 static void
 agent_finish(struct agent *agent)
 {
-    Admin_Finish(agent);
+    if (agent->admin != NULL) {
+        evhttp_free(agent->admin);
+    }
     Jobs_Finish(agent);
+    CmHttpGuard_Finish(&agent->guard);
     Orders_Finish(agent);
     Health_Finish(agent);
     Peers_Finish(agent);
--- a/programs/coriandermoor-agent/runs.c
+++ b/programs/coriandermoor-agent/runs.c
@@ -4,6 +4,7 @@
 #include "runs.h"
 
 #include <jansson.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -265,14 +266,35 @@
     Job_End(job, CM_OUTCOME_UNKNOWN, CM_REASON_ADAPTER_MISMATCH);
 }
 
+void
+Run_ReleaseResponse(struct cm_memory_hold *hold)
+{
+    struct job *job =
+        (struct job *)((char *)hold - offsetof(struct job, response_hold));
+    CmLog_Event(G_LOG_LEVEL_WARNING, "run", job->id,
+                "the response takes too much memory: %zu bytes",
+                job->response->len);
+    Run_Cancel(job);
+    if (!job->verified) {
+        g_string_free(job->response, TRUE);
+        job->response = g_string_new(NULL);
+    }
+    Job_End(job, CM_OUTCOME_UNKNOWN, CM_REASON_TARGET_LOST);
+}
+
 static void
 on_data(void *context, const void *data, size_t size)
 {
     struct job *job = context;
-    if (job->not_loaded) {
+    if (job->not_loaded || job->state != JOB_RUNNING) {
         return;
     }
     g_string_append_len(job->response, data, (gssize)size);
+    CmMemoryHold_Set(&job->response_hold, job->response->allocated_len);
+    CmMemoryBudget_Enforce(&job->agent->guard.budget, CM_MEMORY_RESPONSES);
+    if (job->state != JOB_RUNNING) {
+        return;
+    }
     job->consecutive_resumes = 0;
     if (!job->verified && job->streaming && !verify_first_event(job)) {
         withhold_response(job);
--- a/programs/coriandermoor-agent/runs.h
+++ b/programs/coriandermoor-agent/runs.h
@@ -23,6 +23,11 @@
 Run_FinishCancel(void *context, enum cm_order_end end,
                  const struct cm_order_response *response);
 
+/// Ends the run whose response holds the memory, as all responses take too
+/// much.
+void
+Run_ReleaseResponse(struct cm_memory_hold *hold);
+
 /// Pauses reading from the target while the slowest reader's backlog exceeds
 /// CM_RESPONSE_UNREAD_MAX_BYTES.
 void
--- a/programs/coriandermoor/exchange.c
+++ b/programs/coriandermoor/exchange.c
@@ -6,6 +6,7 @@
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -38,6 +39,37 @@
 static void
 handle_disconnect(struct evhttp_connection *connection, void *context);
 
+void
+Exchange_DiscardAnswer(struct exchange *exchange)
+{
+    exchange->discarded_bytes += exchange->answer->len;
+    g_string_free(exchange->answer, TRUE);
+    exchange->answer = g_string_new(NULL);
+    CmMemoryHold_Finish(&exchange->answer_hold);
+}
+
+/// Gives the memory of the answer back, as the answers of all exchanges take
+/// too much. A stream goes on, but cannot be continued by a retry; any other
+/// exchange fails, from the event loop, as data of it may be in hand.
+static void
+release_answer(struct cm_memory_hold *hold)
+{
+    struct exchange *exchange =
+        (struct exchange *)((char *)hold -
+                            offsetof(struct exchange, answer_hold));
+    if (!exchange->streaming) {
+        exchange->answer_dropped = true;
+        event_active(exchange->deadline_timer, EV_TIMEOUT, 0);
+    }
+    exchange->overflowed = true;
+    if (exchange->answer_dropped ||
+        exchange->delivered_bytes ==
+            exchange->discarded_bytes + exchange->answer->len) {
+        Exchange_DiscardAnswer(exchange);
+    }
+    CmMemoryHold_Finish(hold);
+}
+
 struct exchange *
 Exchange_New(struct entry *entry, struct evhttp_request *request)
 {
@@ -56,6 +88,8 @@
     exchange->routing_timer =
         evtimer_new(entry->base, retry_routing, exchange);
     exchange->hedge_timer = evtimer_new(entry->base, send_hedge, exchange);
+    CmMemoryHold_Init(&exchange->answer_hold, &entry->guard.budget,
+                      CM_MEMORY_RESPONSES, release_answer);
     TAILQ_INIT(&exchange->attempts);
     TAILQ_INSERT_TAIL(&entry->exchanges, exchange, link);
     entry->count.requests.value++;
@@ -79,6 +113,7 @@
     event_free(exchange->hedge_timer);
     g_ptr_array_free(exchange->excluded_targets, TRUE);
     g_string_free(exchange->body, TRUE);
+    CmMemoryHold_Finish(&exchange->answer_hold);
     g_string_free(exchange->answer, TRUE);
     EntryConfig_Unref(exchange->config);
     g_free(exchange->id);
@@ -515,6 +550,9 @@
 append_answer(struct exchange *exchange, const char *data, size_t size)
 {
     g_string_append_len(exchange->answer, data, (gssize)size);
+    CmMemoryHold_Set(&exchange->answer_hold, exchange->answer->allocated_len);
+    CmMemoryBudget_Enforce(&exchange->entry->guard.budget,
+                           CM_MEMORY_RESPONSES);
     if (exchange->streaming && !exchange->overflowed &&
         exchange->answer->len > CM_SPLICE_MAX_BYTES) {
         exchange->overflowed = true;
@@ -525,6 +563,9 @@
 Exchange_ReceiveData(struct exchange *exchange, struct attempt *attempt,
                      const char *data, size_t size)
 {
+    if (exchange->answer_dropped) {
+        return true;
+    }
     size_t received_end = exchange->discarded_bytes + exchange->answer->len;
     size_t offset = attempt->received_bytes;
     attempt->received_bytes += size;
@@ -545,6 +586,9 @@
     if (size > 0) {
         append_answer(exchange, data, size);
     }
+    if (exchange->answer_dropped) {
+        return true;
+    }
     if (exchange->streaming) {
         forward_to_caller(exchange, attempt);
     }
@@ -558,6 +602,9 @@
 Exchange_Complete(struct exchange *exchange, struct attempt *attempt)
 {
     struct entry *entry = exchange->entry;
+    if (exchange->answer_dropped) {
+        return; // it fails as soon as the event loop runs its timer
+    }
     entry->count.stall_ms.value += exchange->stall_ms;
     count_outcome(entry, CM_OUTCOME_RAN);
     CmQuarantine_ClearSuspect(&entry->quarantine, exchange->fingerprint,
@@ -611,6 +658,12 @@
 {
     struct exchange *exchange = context;
     struct attempt *attempt = TAILQ_FIRST(&exchange->attempts);
+    if (exchange->answer_dropped) {
+        Exchange_Fail(exchange, STATUS_BAD_GATEWAY, "answer_too_long",
+                      "the answer takes too much memory", CM_OUTCOME_UNKNOWN,
+                      0);
+        return;
+    }
     if (attempt != NULL) {
         Exchange_CancelAttempts(exchange, attempt);
         if (!attempt->attached) {
--- a/programs/coriandermoor/exchange.h
+++ b/programs/coriandermoor/exchange.h
@@ -40,7 +40,9 @@
 
     int status;
     char *answer_headers;
-    GString *answer;        ///< received body after `discarded_bytes`
+    GString *answer; ///< received body after `discarded_bytes`
+    struct cm_memory_hold answer_hold;
+    bool answer_dropped;    ///< it took too much memory; the exchange fails
     size_t delivered_bytes; ///< written to the caller's connection
     bool streaming;         ///< the response is sent as the answer arrives
     bool overflowed;        ///< a retry can no longer continue the stream
@@ -93,6 +95,10 @@
 Exchange_ReceiveData(struct exchange *exchange, struct attempt *attempt,
                      const char *data, size_t size);
 
+/// Frees the part of a streamed answer that is kept for a retry.
+void
+Exchange_DiscardAnswer(struct exchange *exchange);
+
 /// Sends the whole answer, or ends the streamed response. Frees the exchange.
 void
 Exchange_Complete(struct exchange *exchange, struct attempt *attempt);
--- a/programs/coriandermoor/replies.c
+++ b/programs/coriandermoor/replies.c
@@ -143,8 +143,7 @@
         evbuffer_free(chunk);
     }
     if (exchange->overflowed) {
-        g_string_truncate(exchange->answer, 0);
-        exchange->discarded_bytes = received_end;
+        Exchange_DiscardAnswer(exchange);
     }
     if (output_backlog_bytes(exchange) < CALLER_BACKLOG_MAX_BYTES) {
         Attempt_SendCredit(attempt);
