--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -7,7 +7,6 @@
 
 #include <event2/util.h>
 #include <netinet/in.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base/clock.h"
--- a/programs/coriandermoor-agent/runs.h
+++ b/programs/coriandermoor-agent/runs.h
@@ -24,7 +24,7 @@
                  const struct cm_order_response *response);
 
 /// Ends the run whose response holds the memory, as all responses take too
-/// much.
+/// much and nothing of it has been sent to readers.
 void
 Run_ReleaseResponse(struct cm_memory_hold *hold);
 
