fix(http): end calls to silent servers after one timeout

What callers saw: since the client goes over the pools of h1, a call to a server that does not answer ended after twice its timeout: health checks and orders of the older path after 4 s instead of 2.

Cause: what was unsent was recorded before the first write, which then passed for progress of the server. Class: the start of a measurement taken for a change.

Change: a request that the kernel takes at once is no progress.

Result: http_test passes, the bound is one and a half times the timeout.

--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -15,6 +15,9 @@
 
 /// Interval at which connections that were idle for too long are closed.
 #define EXPIRE_INTERVAL_MS 1000
+/// A shorter request is passed to the kernel at once, which is no progress of
+/// the server.
+#define LONG_REQUEST_BYTES ((size_t)64 * 1024)
 
 struct cm_http_exchange {
     LIST_ENTRY(cm_http_exchange) link;
@@ -95,12 +98,22 @@
     event_add(exchange->timeout_event, &exchange->timeout);
 }
 
+/// @return whether the server has taken a part of the request since the
+/// timeout was started.
+static bool
+has_sent(const struct cm_http_exchange *exchange)
+{
+    size_t unsent = CmH1Call_Unsent(&exchange->h1_call);
+    return unsent < exchange->unsent &&
+           (unsent > 0 || exchange->unsent > LONG_REQUEST_BYTES);
+}
+
 static void
 on_timeout(evutil_socket_t fd, short what, void *context)
 {
     struct cm_http_exchange *exchange = context;
     bool connected = CmH1Call_IsConnected(&exchange->h1_call);
-    if (connected && CmH1Call_Unsent(&exchange->h1_call) < exchange->unsent) {
+    if (connected && has_sent(exchange)) {
         restart_timeout(exchange);
         return;
     }
--- a/packages/http/tests/http_test.c
+++ b/packages/http/tests/http_test.c
@@ -16,6 +16,7 @@
 #include "standin_process.h"
 
 #define LARGE_BODY_BYTES (300 * 1024)
+#define TIMEOUT_MS 1000
 
 struct fixture {
     struct event_base *base;
@@ -187,6 +188,24 @@
     fixture_finish(&fixture);
 }
 
+static void
+test_timeout(void)
+{
+    struct fixture fixture;
+    fixture_init(&fixture);
+    struct call_record call_record;
+    struct timespec start = CmClock_Now(CmClock_System());
+    call_record_start(&call_record, &fixture, fixture.address, EVHTTP_REQ_GET,
+                      "/silent", NULL, TIMEOUT_MS);
+    event_base_dispatch(fixture.base);
+    int64_t ms = CmTime_DiffMs(CmClock_Now(CmClock_System()), start);
+    CU_ASSERT_EQUAL(call_record.result, CM_HTTP_INTERRUPTED);
+    CU_ASSERT(ms >= TIMEOUT_MS - 1);
+    CU_ASSERT(ms < TIMEOUT_MS + TIMEOUT_MS / 2);
+    g_string_free(call_record.body, TRUE);
+    fixture_finish(&fixture);
+}
+
 static void
 test_large_response(void)
 {
@@ -361,6 +380,7 @@
 
 static const struct cm_test tests[] = {
     {"call results", test_call_results},
+    {"timeout", test_timeout},
     {"large response", test_large_response},
     {"responses without an end", test_responses_without_an_end},
     {"cancel", test_cancel},
