--- a/packages/http/src/guard.c
+++ b/packages/http/src/guard.c
@@ -53,19 +53,19 @@
 }
 
 /// Makes evhttp see the end of the connection, once it has read what the
-/// system has received; that is dropped. The close then resets the connection:
-/// a client that still sends would wait for room in the window of a peer that
-/// reads no more.
+/// system has received; that is dropped.
+/// @param aborts whether the close resets the connection: a client that still
+/// sends would wait for room in the window of a peer that reads no more. A
+/// response that the client has not read is lost then.
 static void
-end_peer(struct http_peer *peer)
+end_peer(struct http_peer *peer, bool aborts)
 {
     uncount(peer);
     peer->guard->frees_memory = true;
     if (is_alive(peer)) {
         evutil_socket_t fd = bufferevent_getfd(peer->bev);
-        struct linger abort_on_close = {.l_onoff = 1};
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort_on_close,
-                   sizeof(abort_on_close));
+        struct linger linger = {.l_onoff = aborts};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
         drop_input(bufferevent_get_input(peer->bev));
         shutdown(fd, SHUT_RDWR);
     }
@@ -75,14 +75,16 @@
 on_end(struct cm_intake_client *client, enum cm_intake_client_end why)
 {
     end_peer((struct http_peer *)((char *)client -
-                                  offsetof(struct http_peer, client)));
+                                  offsetof(struct http_peer, client)),
+             client->phase == CM_INTAKE_ARRIVING);
 }
 
 static void
 release_output(struct cm_memory_hold *hold)
 {
     end_peer((struct http_peer *)((char *)hold -
-                                  offsetof(struct http_peer, output)));
+                                  offsetof(struct http_peer, output)),
+             true);
 }
 
 static void
--- a/programs/coriandermoor-agent/runs.c
+++ b/programs/coriandermoor-agent/runs.c
@@ -275,6 +275,7 @@
                 "the response takes too much memory: %zu bytes",
                 job->response->len);
     Run_Cancel(job);
+    g_clear_pointer(&job->head, g_free);
     g_string_free(job->response, TRUE);
     job->response = g_string_new(NULL);
     Job_End(job, CM_OUTCOME_UNKNOWN, CM_REASON_TARGET_LOST);
@@ -289,8 +290,8 @@
     }
     g_string_append_len(job->response, data, (gssize)size);
     // What goes to readers is bounded by their windows.
-    job->response_hold.release = job->verified ? NULL : Run_ReleaseResponse;
-    CmMemoryHold_Set(&job->response_hold, job->response->allocated_len);
+    CmMemoryHold_Set(&job->response_hold,
+                     job->verified ? 0 : job->response->allocated_len);
     CmMemoryBudget_Enforce(&job->agent->guard.budget, CM_MEMORY_RESPONSES);
     if (job->state != JOB_RUNNING) {
         return;
--- a/programs/coriandermoor/exchange.c
+++ b/programs/coriandermoor/exchange.c
@@ -516,6 +516,9 @@
     if (exchange->request == NULL) {
         exchange->delivered_bytes =
             exchange->discarded_bytes + exchange->answer->len;
+        if (exchange->overflowed) {
+            Exchange_DiscardAnswer(exchange);
+        }
         Attempt_SendCredit(attempt);
         return;
     }
