fix(entry): stop once callers have read their responses

What callers saw: an answer was cut in a planned stop while its caller still read it, long before stop_ms, though the log said "0 requests are in progress". Found by the review; e2e-entry-endless, answer_read_slowly_in_a_stop, failed before: 11,812,634 of 16,000,000 bytes.

Cause: an exchange ends when its answer is in the output of its connection, and the entry stopped 200 ms after the last exchange.

Change: the stop also waits, within its time, for what clients have to read, which the guard knows.

--- a/packages/http/include/http/guard.h
+++ b/packages/http/include/http/guard.h
@@ -50,6 +50,10 @@
 bool
 CmHttpGuard_Begin(struct cm_http_guard *guard, struct evhttp_request *request);
 
+/// @return whether clients have output to read.
+bool
+CmHttpGuard_HasOutput(const struct cm_http_guard *guard);
+
 /// Frees the guard, after its servers.
 void
 CmHttpGuard_Finish(struct cm_http_guard *guard);
--- a/packages/http/src/guard.c
+++ b/packages/http/src/guard.c
@@ -232,6 +232,12 @@
     return CmIntakeClient_Begin(&peer->client, BODY_COPIES * body);
 }
 
+bool
+CmHttpGuard_HasOutput(const struct cm_http_guard *guard)
+{
+    return !TAILQ_EMPTY(&guard->budget.classes[CM_MEMORY_OUTPUT].holds);
+}
+
 void
 CmHttpGuard_Finish(struct cm_http_guard *guard)
 {
--- a/programs/coriandermoor/entry_main.c
+++ b/programs/coriandermoor/entry_main.c
@@ -106,8 +106,9 @@
                     &flush_time);
 }
 
-/// Finishes a shutdown once no exchange is left, or in time for the exit when
-/// the stop timeout of the settings is over.
+/// Finishes a shutdown once no exchange is left and callers have read their
+/// responses, or in time for the exit when the stop timeout of the settings is
+/// over.
 static void
 stop_when_idle(struct entry *entry)
 {
@@ -115,8 +116,9 @@
         return;
     }
     int64_t since_ms = CmTime_DiffMs(Entry_Now(entry), entry->signalled_at);
-    if (TAILQ_EMPTY(&entry->exchanges) ||
-        since_ms >= entry->settings.stop_ms - FLUSH_MS) {
+    bool idle = TAILQ_EMPTY(&entry->exchanges) &&
+                !CmHttpGuard_HasOutput(&entry->guard);
+    if (idle || since_ms >= entry->settings.stop_ms - FLUSH_MS) {
         finish_shutdown(entry);
     }
 }
