--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -282,6 +282,9 @@
     exits with the code that a case has."""
 
     async def play():
+        # A case that is told to end still ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         record = Record(folder)
         fleet = None
         try:
@@ -292,6 +295,9 @@
         except CannotRun as error:
             record.say(f"the case couldn't run: {error}")
             return NOT_RUN
+        except asyncio.CancelledError:
+            record.say("the case was told to end")
+            return NOT_RUN
         except Exception:  # a fault of the case itself shows nothing
             record.say("the case couldn't run: " + traceback.format_exc())
             return NOT_RUN
