--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,8 @@
 import ast
 import pathlib
 import sys
-sys.exit("Python 3.11 or later is needed") if sys.version_info < (3, 11) else 0
+if sys.version_info < (3, 8):
+    sys.exit("Python 3.8 or later is needed")
 folders = ["testing/fleet", "testing/soak", "review/common-2"]
 folders += [str(p) for p in pathlib.Path("review").iterdir()
             if p.name.isdigit() and 6 <= int(p.name) <= 10]
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -37,6 +36,8 @@
 HEARTBEAT_S = 1.2
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
           "headerTimeoutMs": 5000, "idleTimeoutMs": 30000}
+ROLE = re.compile(r"^\[roles\.(\w+)\]$")
+ENTRY = re.compile(r'^(\w+) = "(.*)"$')
 TAG = re.compile(r"\{\{([#^/]?)([^{}|]*)(\|json)?\}\}")
 
 
@@ -44,6 +45,18 @@
     """The case can't be run here."""
 
 
+def read_roles():
+    """Reads the texts of each role in the deploy file. Python has a reader of
+    TOML from 3.11 on only."""
+    roles, role = {}, None
+    for line in (ROOT / "deploy/system.toml").read_text().splitlines():
+        if (head := ROLE.match(line)) is not None:
+            role = roles.setdefault(head[1], {})
+        elif role is not None and (entry := ENTRY.match(line)) is not None:
+            role[entry[1]] = entry[2]
+    return roles
+
+
 def look_up(path, scopes):
     for scope in scopes:
         value = scope
@@ -134,8 +147,7 @@
                  plain_slots=6):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        self.roles = deploy["roles"]
+        self.roles = read_roles()
         for role in self.roles.values():
             program = ROOT / role["run"].split()[0]
             if not program.exists():
